--- /dev/null
+++ b/cmd/swiftledge/main.go
@@ -0,0 +1,87 @@
+// Command swiftledge is a controller of the cluster scheduler.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"runtime"
+	"runtime/debug"
+
+	"github.com/spf13/cobra"
+
+	"swiftledge/internal/config"
+	"swiftledge/internal/node"
+)
+
+// version is what `swiftledge version` prints.
+const version = "0.1.0"
+
+func main() {
+	if err := command().ExecuteContext(context.Background()); err != nil {
+		fmt.Fprintln(os.Stderr, "swiftledge:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	var settings, tuning string
+	root := &cobra.Command{
+		Use:           "swiftledge --config FILE [--settings FILE]",
+		Short:         "A controller of the swiftledge cluster scheduler",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cfg, err := load(settings, tuning)
+			if err != nil {
+				return err
+			}
+			return serve(cmd.Context(), cfg)
+		},
+	}
+	root.PersistentFlags().StringVar(&settings, "config", "", "the platform's settings (JSON)")
+	root.PersistentFlags().StringVar(&tuning, "settings", "", "the operators' own settings (YAML)")
+	root.AddCommand(&cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Args:  cobra.NoArgs,
+		Run:   func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "swiftledge", version) },
+	}, &cobra.Command{
+		Use:   "check",
+		Short: "Validate both settings files without serving",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if _, err := load(settings, tuning); err != nil {
+				return err
+			}
+			fmt.Fprintln(cmd.OutOrStdout(), "settings are valid")
+			return nil
+		},
+	})
+	return root
+}
+
+func load(settings, tuning string) (*config.Config, error) {
+	if settings == "" {
+		return nil, errors.New("--config is needed")
+	}
+	return config.Load(settings, tuning)
+}
+
+func serve(ctx context.Context, cfg *config.Config) error {
+	// The machine runs one thread of ours at a time; more would only wait for each other.
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(int64(cfg.Facts.Quota.MemMB * 0.7 * (1 << 20)))
+	level := slog.LevelInfo
+	switch os.Getenv("LOG_LEVEL") {
+	case "debug":
+		level = slog.LevelDebug
+	case "error":
+		level = slog.LevelError
+	}
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	return node.New(cfg, log).Serve(ctx)
+}
--- /dev/null
+++ b/internal/api/api.go
@@ -0,0 +1,120 @@
+// Package api serves users and workers over HTTP. The handlers only translate;
+// what jobs become is decided by transactions in the store.
+package api
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+
+	"swiftledge/internal/block"
+	"swiftledge/internal/config"
+	"swiftledge/internal/store"
+	"swiftledge/wire"
+)
+
+const maxBody = 64 << 10
+
+// Service is the HTTP side of a node.
+type Service struct {
+	cfg     *config.Config
+	store   *store.Client
+	desk    *Desk
+	storeOK func() bool
+	report  func(*wire.Report) block.Answer
+	log     *slog.Logger
+	form    formChecker
+}
+
+// New makes the service; report answers a worker.
+func New(cfg *config.Config, s *store.Client, d *Desk, storeOK func() bool, report func(*wire.Report) block.Answer, log *slog.Logger) *Service {
+	return &Service{cfg: cfg, store: s, desk: d, storeOK: storeOK, report: report, log: log, form: newFormChecker()}
+}
+
+// Serve answers on l until it fails.
+func (s *Service) Serve(l net.Listener) error {
+	app := fiber.New(fiber.Config{
+		BodyLimit:    maxBody,
+		IdleTimeout:  90 * time.Second,
+		ReadTimeout:  60 * time.Second,
+		Concurrency:  max(64, s.cfg.Facts.Quota.MaxSockets*6/10),
+		ErrorHandler: problem,
+	})
+	app.Post("/agent/beat", s.beat)
+	app.Post("/api/jobs", s.submit)
+	app.Get("/api/jobs/:ref", s.status)
+	app.Post("/api/jobs/:ref/abort", s.abort)
+	app.Get("/ready", s.ready)
+	if err := app.Listener(l, fiber.ListenConfig{DisableStartupMessage: true}); err != nil {
+		return fmt.Errorf("serve: %w", err)
+	}
+	return nil
+}
+
+func problem(c fiber.Ctx, err error) error {
+	code := fiber.StatusInternalServerError
+	var fe *fiber.Error
+	if errors.As(err, &fe) {
+		code = fe.Code
+	}
+	// A body over the limit is a malformed submission.
+	if code == fiber.StatusRequestEntityTooLarge {
+		code = fiber.StatusBadRequest
+	}
+	return c.Status(code).JSON(wire.Problem{Error: err.Error()})
+}
+
+// retryAfterS is when a user that could not be served should come back.
+const retryAfterS = 1
+
+func (s *Service) reply(c fiber.Ctx, r result) error {
+	switch {
+	case r.code == 503:
+		c.Set("Retry-After", strconv.Itoa(retryAfterS))
+		return c.Status(503).JSON(wire.Problem{Error: r.why})
+	case r.code >= 400:
+		return c.Status(r.code).JSON(wire.Problem{Error: r.why})
+	}
+	return c.Status(r.code).JSON(r.status)
+}
+
+func (s *Service) submit(c fiber.Ctx) error { return s.reply(c, s.accept(c.Body())) }
+
+// ref is copied: fiber's strings live only as long as the request, and the
+// desk keeps references to jobs for longer.
+func ref(c fiber.Ctx) string { return strings.Clone(c.Params("ref")) }
+
+func (s *Service) status(c fiber.Ctx) error { return s.reply(c, s.look(ref(c))) }
+
+func (s *Service) abort(c fiber.Ctx) error { return s.reply(c, s.cancel(ref(c))) }
+
+func (s *Service) ready(c fiber.Ctx) error {
+	v := s.desk.Look("")
+	// Only when the state service fails this node and not the leader do users fare better elsewhere.
+	if !s.storeOK() && v.LeaderOK {
+		return c.Status(503).JSON(wire.Problem{Error: "the state service refuses this node"})
+	}
+	return c.SendStatus(200)
+}
+
+func (s *Service) beat(c fiber.Ctx) error {
+	r := &wire.Report{}
+	if err := json.Unmarshal(c.Body(), r); err != nil {
+		return fiber.NewError(400, "report: "+err.Error())
+	}
+	a := s.report(r)
+	switch a.Status {
+	case 200:
+		return c.JSON(a.Body)
+	case 421:
+		return c.Status(421).JSON(a.Redirect)
+	}
+	return c.SendStatus(a.Status)
+}
--- /dev/null
+++ b/internal/api/jobs.go
@@ -0,0 +1,266 @@
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"reflect"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+
+	"swiftledge/internal/clock"
+	"swiftledge/internal/leader"
+	"swiftledge/internal/store"
+	"swiftledge/wire"
+)
+
+type result struct {
+	code   int
+	status wire.JobStatus
+	why    string
+}
+
+func refuse(code int, why string) result { return result{code: code, why: why} }
+
+// answerWithin keeps an answer inside the time that users wait for one.
+const (
+	submitWithin = 3500 * time.Millisecond
+	pollWithin   = 1500 * time.Millisecond
+)
+
+type formChecker struct {
+	val *validator.Validate
+	ref *regexp.Regexp
+}
+
+func newFormChecker() formChecker {
+	f := formChecker{validator.New(validator.WithRequiredStructEnabled()), regexp.MustCompile(`^j-[0-9]{6,18}$`)}
+	f.val.RegisterTagNameFunc(func(sf reflect.StructField) string { return strings.Split(sf.Tag.Get("json"), ",")[0] })
+	if err := f.val.RegisterValidation("jobref", func(fl validator.FieldLevel) bool { return f.ref.MatchString(fl.Field().String()) }); err != nil {
+		panic(err) // the tag name is a constant
+	}
+	return f
+}
+
+func (f formChecker) check(form *wire.JobForm) string {
+	var bad validator.ValidationErrors
+	if errors.As(f.val.Struct(form), &bad) {
+		return bad[0].Field() + " is missing or invalid (" + bad[0].Tag() + ")"
+	}
+	return ""
+}
+
+func (s *Service) accept(body []byte) result {
+	var form wire.JobForm
+	if err := json.Unmarshal(body, &form); err != nil {
+		// A known job stays known whatever else its retry holds.
+		var only struct {
+			Ref string `json:"ref"`
+		}
+		if json.Unmarshal(body, &only) == nil || only.Ref != "" {
+			return s.known(only.Ref, refuse(400, "not a job: "+err.Error()))
+		}
+		return refuse(400, "not a job: "+err.Error())
+	}
+	if why := s.form.check(&form); why != "" {
+		ref := ""
+		if form.Ref != nil {
+			ref = *form.Ref
+		}
+		return s.known(ref, refuse(400, why))
+	}
+	job := form.Job()
+	v := s.desk.Look(job.Ref)
+	if v.End != nil {
+		return result{code: 200, status: endStatus(job.Ref, *v.End)}
+	}
+	types := v.Types
+	if len(types) == 0 {
+		types = s.storedTypes()
+	}
+	if len(types) == 0 {
+		return s.known(job.Ref, refuse(503, "machine types are not known yet"))
+	}
+	if why := s.impossible(&job, types); why != "" {
+		return s.known(job.Ref, refuse(422, why))
+	}
+	raw, err := json.Marshal(leader.JobRecord{Spec: job, At: clock.Wall()})
+	if err != nil {
+		return refuse(400, err.Error())
+	}
+	if float64(len(raw)) > s.cfg.Facts.State.ValueKB*1024 {
+		return s.known(job.Ref, refuse(400, "the job is too large to store"))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), submitWithin)
+	defer cancel()
+	t := wire.Txn{If: []wire.Guard{{Key: leader.JobPrefix + job.Ref}, {Key: leader.EndPrefix + job.Ref}},
+		Then: []wire.Write{{Put: leader.JobPrefix + job.Ref, Value: raw}}}
+	unsure := false
+	for n := 0; ; n++ {
+		o, err := s.store.Once(ctx, store.Urgent, t)
+		switch {
+		case err == nil && o.OK:
+			return result{code: 201, status: wire.JobStatus{Ref: job.Ref, State: wire.Queued}}
+		case err == nil:
+			r := s.look(job.Ref)
+			if r.code == 404 {
+				return refuse(503, "the job's state changed meanwhile")
+			}
+			return r
+		case errors.Is(err, store.ErrUnknown):
+			// It may have been written: only the store can say.
+			unsure = true
+		case !unsure:
+			// Certainly refused: the user is told at once when to come back.
+			return refuse(503, "the state service is away")
+		}
+		if !store.Pause(ctx, n) {
+			return refuse(503, "the state service does not answer")
+		}
+	}
+}
+
+// known answers for a job that is there already, else r.
+func (s *Service) known(ref string, r result) result {
+	if !s.form.ref.MatchString(ref) {
+		return r
+	}
+	switch l := s.look(ref); l.code {
+	case 200, 503:
+		return l
+	}
+	return r
+}
+
+func (s *Service) storedTypes() []wire.MachineType {
+	ctx, cancel := context.WithTimeout(context.Background(), pollWithin)
+	defer cancel()
+	it, err := s.store.Get(ctx, store.Normal, leader.CatalogKey)
+	var c wire.Catalog
+	if err != nil || json.Unmarshal(it.Value, &c) != nil {
+		return nil
+	}
+	s.desk.Post(learnt{c.Types})
+	return c.Types
+}
+
+// impossible says why a job can never run.
+func (s *Service) impossible(j *wire.Job, types []wire.MachineType) string {
+	team, ok := s.cfg.Team(j.Team)
+	if !ok {
+		return "unknown team " + j.Team
+	}
+	if j.CPUs > team.CPUsMax || j.GPUs > team.GPUsMax {
+		return "one task needs more than the team's limit"
+	}
+	for _, t := range types {
+		if (len(j.Types) == 0 || slices.Contains(j.Types, t.Name)) && (j.Zone == "" || slices.Contains(t.ZoneNames, j.Zone)) &&
+			j.CPUs <= t.CPUs && j.GPUs <= t.GPUs && j.MemoryGB <= t.MemoryGB {
+			return ""
+		}
+	}
+	return "a task fits no allowed machine type and zone"
+}
+
+func endStatus(ref string, e leader.EndRecord) wire.JobStatus {
+	st := wire.JobStatus{Ref: ref, State: e.State}
+	if e.State == wire.Done {
+		st.Done = e.Tasks
+	}
+	return st
+}
+
+// look reads a job's state: 200, 404 once the store has said so, or 503.
+func (s *Service) look(ref string) result {
+	if !s.form.ref.MatchString(ref) {
+		return refuse(404, "no such job")
+	}
+	v := s.desk.Look(ref)
+	if v.End != nil {
+		return result{code: 200, status: endStatus(ref, *v.End)}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), pollWithin)
+	defer cancel()
+	for n := 0; ; n++ {
+		r, err := s.read(ctx, ref, v)
+		if err == nil {
+			return r
+		}
+		if !store.Pause(ctx, n) {
+			return refuse(503, "the state service is away")
+		}
+	}
+}
+
+func (s *Service) read(ctx context.Context, ref string, v View) (result, error) {
+	// A job moves from job/ to over/ in one transaction, so this order never misses it.
+	_, err := s.store.Get(ctx, store.Normal, leader.JobPrefix+ref)
+	if err == nil {
+		st := wire.JobStatus{Ref: ref, State: wire.Queued, Done: v.Count.Done, Running: v.Count.Running}
+		if st.Running > 0 {
+			st.State = wire.Running
+		}
+		return result{code: 200, status: st}, nil
+	}
+	if !errors.Is(err, store.ErrMissing) {
+		return result{}, err
+	}
+	it, err := s.store.Get(ctx, store.Normal, leader.EndPrefix+ref)
+	if errors.Is(err, store.ErrMissing) {
+		return refuse(404, "no such job"), nil
+	}
+	if err != nil {
+		return result{}, err
+	}
+	var e leader.EndRecord
+	if err := json.Unmarshal(it.Value, &e); err != nil {
+		return result{}, err
+	}
+	s.desk.Post(ended{ref, e})
+	return result{code: 200, status: endStatus(ref, e)}, nil
+}
+
+// cancel ends a job unless it is over; the store decides between done and cancelled.
+func (s *Service) cancel(ref string) result {
+	if !s.form.ref.MatchString(ref) {
+		return refuse(404, "no such job")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), submitWithin)
+	defer cancel()
+	for n := 0; ; n++ {
+		r, err := s.tryCancel(ctx, ref)
+		if err == nil && r.code > 0 {
+			return r
+		}
+		if errors.Is(err, store.ErrRefused) || !store.Pause(ctx, n) {
+			return refuse(503, "the state service is away")
+		}
+	}
+}
+
+// tryCancel gives code 0 when the job changed meanwhile.
+func (s *Service) tryCancel(ctx context.Context, ref string) (result, error) {
+	it, err := s.store.Get(ctx, store.Urgent, leader.JobPrefix+ref)
+	if errors.Is(err, store.ErrMissing) {
+		return s.read(ctx, ref, View{})
+	}
+	if err != nil {
+		return result{}, err
+	}
+	end := leader.EndRecord{State: wire.Cancelled}
+	raw, err := json.Marshal(end)
+	if err != nil {
+		return result{}, err
+	}
+	o, err := s.store.Once(ctx, store.Urgent, wire.Txn{If: []wire.Guard{{Key: leader.JobPrefix + ref, Version: it.Version}},
+		Then: []wire.Write{{Put: leader.EndPrefix + ref, Value: raw}, {Delete: leader.JobPrefix + ref}}})
+	if err != nil || !o.OK {
+		return result{}, err
+	}
+	s.desk.Post(ended{ref, end})
+	return result{code: 200, status: endStatus(ref, end)}, nil
+}
--- /dev/null
+++ b/internal/block/messages.go
@@ -0,0 +1,105 @@
+// Package block is one controller's part as a holder of machine blocks: the
+// dialogue with its workers, the placement cycles and the start records. It
+// holds no I/O: a message and the time give effects.
+package block
+
+import (
+	"hash/fnv"
+
+	"swiftledge/internal/clock"
+	"swiftledge/internal/peer"
+	"swiftledge/wire"
+)
+
+// Of is the block, out of n, that a machine belongs to.
+func Of(machine string, n int) int {
+	h := fnv.New32a()
+	h.Write([]byte(machine))
+	return int(h.Sum32() % uint32(n))
+}
+
+// Key is the store key that says who holds a block.
+func Key(block int) string { return "block/" + pad(block) }
+
+// RecordPrefix is where a block's start records are kept.
+func RecordPrefix(block int) string { return "run/" + pad(block) + "/" }
+
+func pad(n int) string {
+	return string([]byte{'0' + byte(n/100%10), '0' + byte(n/10%10), '0' + byte(n%10)})
+}
+
+// NotSent is the status of a direct command that certainly never left.
+const NotSent = -1
+
+// Messages to a Holder.
+type (
+	// Linked says that a link to the leader of an epoch is up.
+	Linked struct{ Epoch uint64 }
+	// Unlinked says that it ended.
+	Unlinked struct{ Epoch uint64 }
+	// Report is a worker's report that waits for an answer under Tag.
+	Report struct {
+		Tag any
+		R   *wire.Report
+	}
+	// Ordered is the end of a direct command: the worker's status, or 0 without an answer.
+	Ordered struct {
+		Orders
+		Status int
+		R      *wire.Report
+	}
+	// Recorded is the end of a start record's write.
+	Recorded struct {
+		Block  int
+		Token  uint64
+		Key    string
+		OK     bool
+		Fenced bool
+	}
+	// Tick lets time pass.
+	Tick struct{}
+)
+
+// Effects of a Holder.
+type (
+	// Send goes to the leader.
+	Send struct{ Up peer.Up }
+	// Answer goes to the worker that waits under Tag. Status is 200, 421 or 503.
+	Answer struct {
+		Tag      any
+		Status   int
+		Body     wire.ReportAnswer
+		Redirect wire.Redirect
+	}
+	// Orders is a direct command.
+	Orders struct {
+		Block   int
+		Machine string
+		Address string
+		Body    wire.Orders
+	}
+	// Record is a start record to write before its tasks are ordered.
+	Record struct {
+		Block int
+		Token uint64
+		Key   string
+		Page  peer.RecordPage
+		Stamp uint64
+	}
+	// Erase removes start records whose tasks are proven gone.
+	Erase struct {
+		Block int
+		Stamp uint64
+		Keys  []string
+	}
+)
+
+// Params are a Holder's settings.
+type Params struct {
+	Node       string
+	GrantTime  clock.Micros
+	Lease      clock.Micros
+	ReportTime clock.Micros
+	ValueBytes int
+	TxnOps     int
+}
--- /dev/null
+++ b/internal/cloud/cloud.go
@@ -0,0 +1,97 @@
+// Package cloud is the client of the machine rental service.
+package cloud
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/url"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"swiftledge/wire"
+)
+
+// ErrNoCapacity says that none is available of this type, zone and kind.
+var ErrNoCapacity = errors.New("no capacity")
+
+// Client speaks to the cloud. Only the leader calls it, one call at a time,
+// which together with the pause after each call keeps it within the limit.
+type Client struct {
+	http  *fasthttp.HostClient
+	pause time.Duration
+}
+
+// New makes a client that keeps to rps calls a second.
+func New(addr string, rps float64) *Client {
+	return &Client{
+		http: &fasthttp.HostClient{Addr: addr, MaxConns: 4, MaxIdemponentCallAttempts: 1,
+			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+			Dial:       func(a string) (net.Conn, error) { return fasthttp.DialTimeout(a, 2*time.Second) }},
+		pause: time.Duration(float64(time.Second) / rps),
+	}
+}
+
+// Pause is how long to leave between two calls.
+func (c *Client) Pause() time.Duration { return c.pause }
+
+func (c *Client) call(method, uri string, body, out any) error {
+	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(res)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + c.http.Addr + uri)
+	if body != nil {
+		raw, err := json.Marshal(body)
+		if err != nil {
+			return fmt.Errorf("encode: %w", err)
+		}
+		req.Header.SetContentType("application/json")
+		req.SetBodyRaw(raw)
+	}
+	if err := c.http.DoTimeout(req, res, 5*time.Second); err != nil {
+		return fmt.Errorf("cloud %s: %w", uri, err)
+	}
+	if res.StatusCode() == 503 {
+		var p wire.Problem
+		if json.Unmarshal(res.Body(), &p) == nil && p.Error == "no capacity" {
+			return fmt.Errorf("cloud %s: %w", uri, ErrNoCapacity)
+		}
+	}
+	if res.StatusCode() != 200 {
+		return fmt.Errorf("cloud %s: status %d", uri, res.StatusCode())
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(res.Body(), out); err != nil {
+		return fmt.Errorf("cloud %s: decode: %w", uri, err)
+	}
+	return nil
+}
+
+// Catalog reads the machine types.
+func (c *Client) Catalog() (wire.Catalog, error) {
+	var out wire.Catalog
+	return out, c.call("GET", "/catalog", nil, &out)
+}
+
+// Rent asks for machines; the same request name gives the same machines.
+func (c *Client) Rent(r wire.Rental) ([]string, error) {
+	var out wire.Machines
+	err := c.call("POST", "/hosts", r, &out)
+	return out.Machines, err
+}
+
+// Delete returns machines; when it succeeds they are gone.
+func (c *Client) Delete(names []string) error {
+	return c.call("POST", "/hosts/delete", wire.Machines{Machines: names}, nil)
+}
+
+// List reads one page of the machine list.
+func (c *Client) List(after string) (wire.MachineList, error) {
+	var out wire.MachineList
+	return out, c.call("GET", "/hosts?most=500&since="+url.QueryEscape(after), nil, &out)
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,213 @@
+// Package config reads and validates the platform's settings (JSON) and the
+// operators' own (YAML).
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"reflect"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+	"go.yaml.in/yaml/v3"
+
+	"swiftledge/internal/clock"
+)
+
+// Peer is another controller.
+type Peer struct {
+	Name    string `json:"host_name" validate:"required"`
+	Zone    string `json:"site"`
+	Address string `json:"address" validate:"required,hostname_port"`
+}
+
+// Team has a guarantee and a limit.
+type Team struct {
+	Name    string  `json:"name" validate:"required"`
+	CPUs    float64 `json:"cpus" validate:"min=0"`
+	CPUsMax float64 `json:"cpus_max" validate:"min=0"`
+	GPUs    float64 `json:"gpus" validate:"min=0"`
+	GPUsMax float64 `json:"gpus_max" validate:"min=0"`
+}
+
+// Objective restates one aim of the users.
+type Objective struct {
+	Kind    string  `json:"kind"`
+	Class   string  `json:"class"`
+	WithinS float64 `json:"within_s"`
+	Share   float64 `json:"share"`
+}
+
+// Settings is the file that the platform hands over.
+type Settings struct {
+	Name      string `json:"host_name" validate:"required"`
+	Zone      string `json:"site"`
+	ServeOn   string `json:"serve_on" validate:"required,hostname_port"`
+	Back      string `json:"back" validate:"required,hostname_port"`
+	Peers     []Peer `json:"others" validate:"dive"`
+	Endpoints struct {
+		Cloud string `json:"cloud" validate:"required,hostname_port"`
+		State string `json:"state" validate:"required,hostname_port"`
+	} `json:"endpoints"`
+	Facts struct {
+		InitialSize int         `json:"initial_size" validate:"min=1"`
+		Zones       []string    `json:"zones" validate:"min=1"`
+		Teams       []Team      `json:"teams" validate:"min=1,dive"`
+		Objectives  []Objective `json:"objectives"`
+		Workers     struct {
+			ReportS float64 `json:"report_s" validate:"gt=0"`
+			LeaseS  float64 `json:"lease_s" validate:"gt=0"`
+			CancelS float64 `json:"cancel_s" validate:"gt=0"`
+		} `json:"workers"`
+		State struct {
+			RPS      float64 `json:"rps" validate:"gt=0"`
+			WriteRPS float64 `json:"write_rps" validate:"gt=0"`
+			ValueKB  float64 `json:"value_kb" validate:"min=2"`
+			TxnOps   int     `json:"txn_ops" validate:"min=2"`
+		} `json:"state"`
+		Cloud struct {
+			RPS      float64 `json:"rps" validate:"gt=0"`
+			ListLagS float64 `json:"list_lag_s" validate:"min=0"`
+		} `json:"cloud"`
+		Quota struct {
+			CPU        float64 `json:"cpu" validate:"gt=0"`
+			MemMB      float64 `json:"mem_mb" validate:"gt=0"`
+			MaxSockets int     `json:"max_sockets" validate:"gt=0"`
+		} `json:"quota"`
+		SkewMs float64 `json:"skew_ms" validate:"min=0"`
+	} `json:"facts"`
+}
+
+// Tuning is the operators' own file: what the design leaves open.
+type Tuning struct {
+	Placement struct {
+		K       float64 `yaml:"k" validate:"gte=0,lte=1"`
+		Eta     float64 `yaml:"eta" validate:"gte=0,lt=1"`
+		Epsilon float64 `yaml:"epsilon" validate:"gt=0,lte=1"`
+		Small   float64 `yaml:"small" validate:"gt=0,lte=10"`
+		CycleS  float64 `yaml:"cycle_s" validate:"gte=0.05,lte=10"`
+	} `yaml:"placement"`
+	Grants struct {
+		Blocks int     `yaml:"blocks" validate:"gte=1,lte=64"`
+		TimeS  float64 `yaml:"time_s" validate:"gte=2,lte=120"`
+	} `yaml:"grants"`
+	Election struct {
+		TTLS float64 `yaml:"ttl_s" validate:"gte=1,lte=30"`
+	} `yaml:"election"`
+	Fleet struct {
+		SpotClearS     float64 `yaml:"spot_clear_s" validate:"gt=0,lte=3600"`
+		OrdinaryClearS float64 `yaml:"ordinary_clear_s" validate:"gt=0,lte=3600"`
+		IdleS          float64 `yaml:"idle_s" validate:"gte=0,lte=3600"`
+		LateFactor     float64 `yaml:"late_factor" validate:"gte=1,lte=20"`
+	} `yaml:"fleet"`
+}
+
+// DefaultTuning is used for all that the operators' file leaves out.
+func DefaultTuning() Tuning {
+	var t Tuning
+	t.Placement.K = 0.001
+	t.Placement.Eta = 0.05
+	t.Placement.Epsilon = 0.01
+	t.Placement.Small = 0.5
+	t.Placement.CycleS = 2
+	t.Grants.Blocks = 6
+	t.Grants.TimeS = 30
+	t.Election.TTLS = 5
+	t.Fleet.SpotClearS = 25
+	t.Fleet.OrdinaryClearS = 90
+	t.Fleet.IdleS = 20
+	t.Fleet.LateFactor = 3
+	return t
+}
+
+// Config is both files.
+type Config struct {
+	Settings
+	Tuning Tuning
+}
+
+// GrantTime is how long a grant lasts: the operators' value, but short enough
+// that a holder that lost touch stops answering in time for a cancelled task's
+// worker lease to run out within cancel_s.
+func (c *Config) GrantTime() clock.Micros {
+	w := c.Facts.Workers
+	most := w.CancelS - w.LeaseS - 4
+	if most < 2 {
+		most = 2
+	}
+	return clock.FromSeconds(min(c.Tuning.Grants.TimeS, most))
+}
+
+// LeaseTime is the workers' lease.
+func (c *Config) LeaseTime() clock.Micros { return clock.FromSeconds(c.Facts.Workers.LeaseS) }
+
+// Team finds a team by name.
+func (c *Config) Team(name string) (Team, bool) {
+	for _, t := range c.Facts.Teams {
+		if t.Name == name {
+			return t, true
+		}
+	}
+	return Team{}, false
+}
+
+// Load reads and checks both files; tuning may be "".
+func Load(settings, tuning string) (*Config, error) {
+	raw, err := os.ReadFile(settings)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	c := &Config{Tuning: DefaultTuning()}
+	if err := json.Unmarshal(raw, &c.Settings); err != nil {
+		return nil, fmt.Errorf("settings %s: %w", settings, err)
+	}
+	if err := check(c.Settings, "json"); err != nil {
+		return nil, fmt.Errorf("settings %s: %w", settings, err)
+	}
+	if tuning == "" {
+		return c, nil
+	}
+	f, err := os.Open(tuning)
+	if err != nil {
+		return nil, fmt.Errorf("operators' settings: %w", err)
+	}
+	defer f.Close()
+	dec := yaml.NewDecoder(f)
+	dec.KnownFields(true)
+	if err := dec.Decode(&c.Tuning); err != nil && !errors.Is(err, io.EOF) {
+		return nil, fmt.Errorf("operators' settings %s: %w", tuning, err)
+	}
+	if err := check(c.Tuning, "yaml"); err != nil {
+		return nil, fmt.Errorf("operators' settings %s: %w", tuning, err)
+	}
+	return c, nil
+}
+
+// check names every missing or invalid field, in the file's own words, on one line.
+func check(v any, tag string) error {
+	val := validator.New(validator.WithRequiredStructEnabled())
+	val.RegisterTagNameFunc(func(f reflect.StructField) string {
+		return strings.Split(f.Tag.Get(tag), ",")[0]
+	})
+	err := val.Struct(v)
+	var bad validator.ValidationErrors
+	if !errors.As(err, &bad) {
+		return err
+	}
+	var parts []string
+	for _, b := range bad {
+		name := b.Namespace()
+		if i := strings.IndexByte(name, '.'); i >= 0 {
+			name = name[i+1:]
+		}
+		rule := b.Tag()
+		if b.Param() != "" {
+			rule += "=" + b.Param()
+		}
+		parts = append(parts, fmt.Sprintf("%s is missing or invalid (%s)", name, rule))
+	}
+	return errors.New(strings.Join(parts, "; "))
+}
--- /dev/null
+++ b/internal/election/election.go
@@ -0,0 +1,250 @@
+// Package election decides which controller leads, by a key attached to a store
+// lease. It holds no I/O: a message and the time give effects.
+package election
+
+import (
+	"errors"
+
+	"swiftledge/internal/clock"
+	"swiftledge/internal/store"
+)
+
+// Record is the value of the leader key.
+type Record struct {
+	Node string `json:"node"`
+	Run  uint64 `json:"run"`
+}
+
+// Messages to an Elector.
+type (
+	// Seen is the leader key as the store has it now; Version 0: there is none.
+	Seen struct {
+		Version  uint64
+		Record   Record
+		Revision uint64 // of the store, when it was so
+	}
+	// Leased answers GetLease; Sent is when it was asked.
+	Leased struct {
+		Lease uint64
+		Sent  clock.Micros
+		Err   error
+	}
+	// Claimed answers Claim.
+	Claimed struct {
+		Lease   uint64
+		Outcome store.Outcome
+		Err     error
+	}
+	// Renewed answers Renew; Sent is when it was asked.
+	Renewed struct {
+		Lease uint64
+		Sent  clock.Micros
+		Err   error
+	}
+	// Resign gives the epoch up.
+	Resign struct{ Epoch uint64 }
+	// Tick lets time pass.
+	Tick struct{}
+)
+
+// Effects of an Elector.
+type (
+	// GetLease asks for a store lease.
+	GetLease struct{ TTL clock.Micros }
+	// Claim asks to create the leader key under a lease.
+	Claim struct {
+		Lease  uint64
+		Record Record
+	}
+	// Renew renews the lease.
+	Renew struct{ Lease uint64 }
+	// Drop ends a lease at once.
+	Drop struct{ Lease uint64 }
+	// Look asks for Seen.
+	Look struct{}
+	// Lead begins an epoch of ours.
+	Lead struct {
+		Epoch uint64
+		Until clock.Micros
+	}
+	// Extend says until when we may act.
+	Extend struct{ Until clock.Micros }
+	// Depose ends our epoch.
+	Depose struct{ Epoch uint64 }
+	// Follow names the leader; Epoch 0: nobody leads.
+	Follow struct {
+		Epoch uint64
+		Node  string
+	}
+)
+
+// Elector is the actor's state.
+type Elector struct {
+	me       Record
+	ttl      clock.Micros
+	known    bool // the leader key's state is known
+	seen     Seen
+	lease    uint64
+	leaseAt  clock.Micros
+	asking   bool
+	claiming bool
+	epoch    uint64 // ours; 0: we do not lead
+	until    clock.Micros
+	renewAt  clock.Micros
+	retryAt  clock.Micros
+	fx       []any
+}
+
+// New makes an elector. me.Run differs with each start of the process, so that
+// nothing from before a restart is taken for ours.
+func New(me Record, ttl clock.Micros) *Elector { return &Elector{me: me, ttl: ttl} }
+
+// Epoch is ours while we lead, else 0.
+func (e *Elector) Epoch() uint64 { return e.epoch }
+
+// Step takes one message at a time.
+func (e *Elector) Step(now clock.Micros, msg any) []any {
+	e.fx = nil
+	if e.epoch > 0 && now >= e.until {
+		e.depose()
+	}
+	switch m := msg.(type) {
+	case Seen:
+		e.onSeen(now, m)
+	case Leased:
+		e.asking = false
+		if m.Err != nil {
+			e.retryAt = now + e.ttl/10
+			break
+		}
+		e.lease, e.leaseAt = m.Lease, m.Sent
+	case Claimed:
+		e.onClaimed(now, m)
+	case Renewed:
+		e.onRenewed(now, m)
+	case Resign:
+		if e.epoch == m.Epoch && e.epoch > 0 {
+			e.depose()
+		}
+	}
+	e.advance(now)
+	return e.fx
+}
+
+func (e *Elector) emit(x any) { e.fx = append(e.fx, x) }
+
+func (e *Elector) depose() {
+	e.emit(Depose{e.epoch})
+	e.emit(Drop{e.lease})
+	e.epoch, e.lease = 0, 0
+	e.look()
+}
+
+// look asks anew who leads; nothing is claimed until the answer is there.
+func (e *Elector) look() {
+	e.known = false
+	e.emit(Look{})
+}
+
+func (e *Elector) onSeen(now clock.Micros, m Seen) {
+	if m.Revision < e.seen.Revision {
+		return // what the watch saw before a later read
+	}
+	changed := !e.known || m.Version != e.seen.Version
+	e.known, e.seen = true, m
+	if e.epoch > 0 && m.Version > e.epoch {
+		e.depose()
+	}
+	// A claim whose answer was lost.
+	if e.epoch == 0 && m.Version > 0 && m.Record == e.me && e.lease > 0 {
+		e.win(now, m.Version)
+		return
+	}
+	if changed && e.epoch == 0 {
+		e.emit(Follow{m.Version, m.Record.Node})
+	}
+}
+
+func (e *Elector) win(now clock.Micros, epoch uint64) {
+	until := e.leaseAt + e.ttl.Shorter()
+	if now >= until {
+		// Too slow: the lease may be over already.
+		e.emit(Drop{e.lease})
+		e.lease = 0
+		return
+	}
+	e.epoch, e.until = epoch, until
+	e.renewAt = now
+	e.emit(Lead{epoch, until})
+	e.emit(Follow{epoch, e.me.Node})
+}
+
+func (e *Elector) onClaimed(now clock.Micros, m Claimed) {
+	e.claiming = false
+	if m.Lease != e.lease || e.epoch > 0 {
+		return
+	}
+	switch {
+	case m.Err == nil && m.Outcome.OK:
+		e.seen = Seen{m.Outcome.Revision, e.me, m.Outcome.Revision}
+		e.win(now, m.Outcome.Revision)
+	case m.Outcome.NoLease:
+		e.lease = 0
+	case errors.Is(m.Err, store.ErrUnknown):
+		e.retryAt = now + e.ttl/10
+		e.look() // it may have been carried out
+	case m.Err == nil:
+		e.look()
+	default:
+		e.retryAt = now + e.ttl/10
+	}
+}
+
+func (e *Elector) onRenewed(now clock.Micros, m Renewed) {
+	e.asking = false
+	if m.Lease != e.lease {
+		return
+	}
+	switch {
+	case m.Err == nil:
+		e.leaseAt = max(e.leaseAt, m.Sent)
+		if e.epoch > 0 {
+			// Our time runs from when the renewal was sent, not from its answer.
+			e.until = max(e.until, m.Sent+e.ttl.Shorter())
+			e.emit(Extend{e.until})
+		}
+	case errors.Is(m.Err, store.ErrMissing):
+		if e.epoch > 0 {
+			e.depose()
+		}
+		e.lease = 0
+	default:
+		e.renewAt = now + e.ttl/20
+	}
+}
+
+// advance starts what is due: a lease is kept ready so that a claim needs one call.
+func (e *Elector) advance(now clock.Micros) {
+	if e.epoch > 0 {
+		if !e.asking && now >= e.renewAt {
+			e.asking = true
+			e.renewAt = now + e.ttl/4
+			e.emit(Renew{e.lease})
+		}
+		return
+	}
+	if !e.known || e.seen.Version > 0 || e.claiming || e.asking || now < e.retryAt {
+		return
+	}
+	if e.lease == 0 || now-e.leaseAt > e.ttl/4 {
+		if e.lease != 0 {
+			e.emit(Drop{e.lease})
+			e.lease = 0
+		}
+		e.asking = true
+		e.emit(GetLease{e.ttl})
+		return
+	}
+	e.claiming = true
+	e.emit(Claim{e.lease, e.me})
+}
--- /dev/null
+++ b/internal/leader/leader.go
@@ -0,0 +1,794 @@
+package leader
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+
+	"swiftledge/internal/block"
+	"swiftledge/internal/clock"
+	"swiftledge/internal/config"
+	"swiftledge/internal/fleet"
+	"swiftledge/internal/peer"
+	"swiftledge/internal/store"
+	"swiftledge/wire"
+)
+
+type node struct {
+	name     string
+	run      uint64
+	link     any
+	joined   clock.Micros
+	heard    clock.Micros
+	badSince clock.Micros // since when the state service refuses it; 0: it does not
+}
+
+type blockState int
+
+const (
+	loose   blockState = iota // no holder under this epoch
+	writing                   // its key is being written
+	reading                   // its start records are being read
+	granted
+)
+
+// held is a task that is in a block's grant: it counts in full.
+type held struct {
+	team       string
+	cpus, gpus float64
+	zone       string
+	running    bool
+	machine    string
+	since      clock.Micros
+}
+
+type lblock struct {
+	id       int
+	state    blockState
+	token    uint64
+	stamp    uint64
+	holder   string
+	link     any
+	tasks    map[peer.Task]*held
+	offerSeq uint64
+	offered  bool // an offer is not settled yet
+	orders   peer.BlockOrders
+	unstored []peer.Task // told done, not stored yet
+}
+
+type machine struct {
+	name     string
+	rental   string
+	opt      fleet.Option
+	born     clock.Micros
+	up       bool
+	state    peer.MachineState
+	listed   clock.Micros // last seen in the list; 0: never
+	missing  int
+	idle     clock.Micros // since when it has no task
+	drain    bool
+	deleting bool
+	errs     map[string]int
+	errRun   int
+	// Room that is left while offers are made; the holder's word in state is not touched.
+	cpus, gpus, mem float64
+}
+
+type rental struct {
+	key   string
+	stamp uint64
+	rec   FleetRecord
+	busy  bool // a write or a request is under way
+	asked clock.Micros
+}
+
+// Leader is the actor's state; it is made anew for each epoch.
+type Leader struct {
+	cfg                                           *config.Config
+	self                                          string
+	epoch                                         uint64
+	run                                           uint64
+	leading                                       bool
+	loaded                                        bool
+	until                                         clock.Micros
+	began                                         clock.Micros
+	tokens                                        uint64
+	blocks                                        []*lblock
+	nodes                                         map[string]*node
+	jobs                                          map[string]*job
+	usage                                         map[string]*use
+	machines                                      map[string]*machine
+	rentals                                       map[string]*rental
+	gone                                          map[string]bool
+	types                                         map[string]wire.MachineType
+	typeList                                      []wire.MachineType
+	refused                                       map[string]clock.Micros // by option, until when not to ask again
+	classes                                       map[string]*classStat
+	rentSeq                                       int
+	found                                         map[string]wire.Machine
+	lastList, lastCounts, lastFleet, lastSchedule clock.Micros
+	listing, deleting                             bool
+	catalogAt                                     clock.Micros
+	stirred                                       bool
+	counts                                        map[string]peer.TaskCount
+	fx                                            []any
+	storeOK                                       func() bool
+}
+
+type use struct{ cpus, gpus float64 }
+
+// classStat learns how long tasks of a class really run against their estimate.
+type classStat struct {
+	ratio float64
+	n     int
+}
+
+// New makes a leader that does not lead yet.
+func New(cfg *config.Config, storeOK func() bool) *Leader {
+	l := &Leader{cfg: cfg, self: cfg.Name, storeOK: storeOK}
+	l.reset()
+	return l
+}
+
+func (l *Leader) reset() {
+	*l = Leader{cfg: l.cfg, self: l.self, storeOK: l.storeOK, nodes: map[string]*node{}, jobs: map[string]*job{}, usage: map[string]*use{},
+		machines: map[string]*machine{}, rentals: map[string]*rental{}, gone: map[string]bool{}, types: map[string]wire.MachineType{},
+		refused: map[string]clock.Micros{}, classes: map[string]*classStat{}, found: map[string]wire.Machine{}, counts: map[string]peer.TaskCount{}}
+}
+
+// Step takes one message at a time.
+func (l *Leader) Step(now clock.Micros, msg any) []any {
+	l.fx = nil
+	switch m := msg.(type) {
+	case Elected:
+		l.reset()
+		l.epoch, l.run, l.leading, l.began = m.Epoch, m.Run, true, now
+		l.emit(Load{l.epoch})
+	case Authority:
+		l.until = m.Until
+	case Deposed:
+		l.reset()
+	default:
+		if l.leading {
+			l.handle(now, m)
+		}
+	}
+	if l.leading && l.loaded && l.authorised(now) {
+		l.schedule(now)
+		l.flush()
+	}
+	return l.fx
+}
+
+// authorised is asked at the moment of acting: a process that was short of
+// processor time may wake after its authority has ended.
+func (l *Leader) authorised(now clock.Micros) bool { return l.leading && now < l.until }
+
+func (l *Leader) handle(now clock.Micros, msg any) {
+	switch m := msg.(type) {
+	case Loaded:
+		if m.Epoch == l.epoch && !l.loaded {
+			l.load(now, m)
+		}
+	case Joined:
+		l.nodes[m.Node] = &node{name: m.Node, run: m.Run, link: m.Link, joined: now, heard: now}
+		// What the node was told over an older link may be lost: its blocks are granted anew.
+		for _, b := range l.blocks {
+			if b.holder == m.Node && b.link != m.Link && b.state != writing {
+				b.state = loose
+			}
+		}
+		l.emit(Tell{m.Link, peer.Down{Epoch: l.epoch, Types: l.typeList, Holders: l.holders()}})
+	case Left:
+		if n := l.nodes[m.Node]; n != nil && n.link == m.Link {
+			delete(l.nodes, m.Node)
+		}
+	case Said:
+		l.said(now, m)
+	case Watched:
+		if m.Epoch == l.epoch && l.loaded {
+			for _, e := range m.Events {
+				l.watched(now, e)
+			}
+		}
+	case Committed:
+		if m.Epoch == l.epoch {
+			l.committed(now, m)
+		}
+	case Records:
+		if m.Epoch == l.epoch {
+			l.records(now, m)
+		}
+	case Read:
+		if m.Epoch == l.epoch {
+			l.read(now, m)
+		}
+	case CatalogRead:
+		l.catalog(now, m.Types)
+	case Listed:
+		l.listing = false
+		l.listedMachines(now, m.Machines)
+	case Rented:
+		if m.Epoch == l.epoch {
+			l.rented(now, m)
+		}
+	case Deleted:
+		if m.Epoch == l.epoch {
+			l.deleted(now, m)
+		}
+	case Tick:
+		l.tick(now)
+	}
+}
+
+func (l *Leader) emit(e any) { l.fx = append(l.fx, e) }
+
+func (l *Leader) info(text string, args ...any) { l.emit(Log{Text: text, Args: args}) }
+
+// commit guards a transaction on the epoch, so that one of an older leader fails however late it is applied.
+func (l *Leader) commit(prio int, tag any, guards []wire.Guard, writes []wire.Write) {
+	guards = append([]wire.Guard{{Key: Key, Version: l.epoch}}, guards...)
+	l.emit(Commit{Epoch: l.epoch, Prio: prio, Txn: wire.Txn{If: guards, Then: writes}, Tag: tag})
+}
+
+func put(key string, v any) wire.Write {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("encode %s: %v", key, err)) // our own types always encode
+	}
+	return wire.Write{Put: key, Value: raw}
+}
+
+func (l *Leader) load(now clock.Micros, m Loaded) {
+	n := l.cfg.Tuning.Grants.Blocks
+	haveLayout := false
+	stamps := map[string]uint64{}
+	holders := map[string]BlockRecord{}
+	bad := func(it wire.Item, err error) {
+		l.info("unreadable record", "key", it.Key, "error", err)
+	}
+	for _, it := range m.Items {
+		switch {
+		case it.Key == LayoutKey:
+			var r LayoutRecord
+			if err := json.Unmarshal(it.Value, &r); err != nil || r.Blocks < 1 {
+				bad(it, err)
+				continue
+			}
+			n, haveLayout = r.Blocks, true
+		case it.Key == CatalogKey:
+			var c wire.Catalog
+			if err := json.Unmarshal(it.Value, &c); err != nil {
+				bad(it, err)
+				continue
+			}
+			l.setTypes(c.Types)
+		case strings.HasPrefix(it.Key, "block/"):
+			var r BlockRecord
+			if err := json.Unmarshal(it.Value, &r); err != nil {
+				bad(it, err)
+				continue
+			}
+			stamps[it.Key], holders[it.Key] = it.Version, r
+		case strings.HasPrefix(it.Key, JobPrefix):
+			var r JobRecord
+			if err := json.Unmarshal(it.Value, &r); err != nil {
+				bad(it, err)
+				continue
+			}
+			l.addJob(r, it.Version)
+		case strings.HasPrefix(it.Key, FleetPrefix):
+			var r FleetRecord
+			if err := json.Unmarshal(it.Value, &r); err != nil {
+				bad(it, err)
+				continue
+			}
+			l.loadRental(now, it, r)
+		}
+	}
+	var stale []wire.Write
+	for _, it := range m.Items {
+		if strings.HasPrefix(it.Key, ProgPrefix) {
+			ref, chunk, _ := strings.Cut(strings.TrimPrefix(it.Key, ProgPrefix), "/")
+			c, err := strconv.Atoi(chunk)
+			var r ProgRecord
+			if err == nil {
+				err = json.Unmarshal(it.Value, &r)
+			}
+			if err != nil {
+				bad(it, err)
+				continue
+			}
+			if j := l.jobs[ref]; j != nil {
+				j.loadChunk(c, r.Bits, it.Version)
+			} else {
+				stale = append(stale, wire.Write{Delete: it.Key})
+			}
+		}
+	}
+	for len(stale) > 0 {
+		k := min(len(stale), l.cfg.Facts.State.TxnOps)
+		l.commit(store.Lazy, nil, nil, stale[:k])
+		stale = stale[k:]
+	}
+	for i := range n {
+		k := block.Key(i)
+		l.blocks = append(l.blocks, &lblock{id: i, stamp: stamps[k], holder: holders[k].Holder, tasks: map[peer.Task]*held{}})
+	}
+	if !haveLayout {
+		l.commit(store.Urgent, nil, []wire.Guard{{Key: LayoutKey}}, []wire.Write{put(LayoutKey, LayoutRecord{n})})
+	}
+	for _, j := range l.jobs {
+		j.fillWaiting()
+	}
+	l.loaded = true
+	l.stirred = true
+	l.emit(List{})
+	l.listing = true
+	l.lastList = now
+	l.emit(ReadCatalog{})
+	l.catalogAt = now
+	l.info("leading", "epoch", l.epoch, "jobs", len(l.jobs), "machines", len(l.machines), "blocks", n)
+}
+
+func (l *Leader) setTypes(ts []wire.MachineType) {
+	l.typeList = ts
+	for _, t := range ts {
+		l.types[t.Name] = t
+	}
+	for _, m := range l.machines {
+		m.opt.Type = l.types[m.opt.Type.Name]
+	}
+}
+
+func (l *Leader) catalog(now clock.Micros, ts []wire.MachineType) {
+	if len(ts) == 0 {
+		return
+	}
+	same := len(ts) == len(l.typeList)
+	for i := range ts {
+		same = same && l.typeList[i].Name == ts[i].Name && l.typeList[i].CPUs == ts[i].CPUs
+	}
+	l.setTypes(ts)
+	if !same {
+		// Kept in the store so that submissions can be judged while the cloud is away.
+		l.commit(store.Normal, nil, nil, []wire.Write{put(CatalogKey, wire.Catalog{Types: ts})})
+		for _, n := range l.nodes {
+			l.emit(Tell{n.link, peer.Down{Epoch: l.epoch, Types: ts}})
+		}
+	}
+}
+
+// holders names who answers for each block, for redirects.
+func (l *Leader) holders() []string {
+	if !l.loaded {
+		return nil
+	}
+	out := make([]string, len(l.blocks))
+	for i, b := range l.blocks {
+		out[i] = b.holder
+	}
+	return out
+}
+
+func (l *Leader) said(now clock.Micros, m Said) {
+	n := l.nodes[m.Node]
+	if n == nil || n.link != m.Link || m.Up.Epoch != l.epoch {
+		return
+	}
+	n.heard = now
+	if m.Up.StoreOK {
+		n.badSince = 0
+	} else if n.badSince == 0 {
+		n.badSince = now
+	}
+	if m.Up.Renew > 0 && l.loaded && l.authorised(now) {
+		d := peer.Down{Epoch: l.epoch, Renewed: m.Up.Renew, Tokens: map[int]uint64{}, StoreOK: l.storeOK()}
+		for _, b := range l.blocks {
+			if b.state == granted && b.link == m.Link {
+				d.Tokens[b.id] = b.token
+			}
+		}
+		l.emit(Tell{m.Link, d})
+	}
+	for _, u := range m.Up.Updates {
+		if u.Block >= len(l.blocks) {
+			continue
+		}
+		b := l.blocks[u.Block]
+		if b.state != granted || b.token != u.Token || b.link != m.Link {
+			continue
+		}
+		if u.Lost {
+			b.state = loose
+			continue
+		}
+		l.update(now, b, u)
+	}
+}
+
+func (l *Leader) update(now clock.Micros, b *lblock, u peer.BlockUpdate) {
+	for _, e := range u.Events {
+		l.event(now, b, e)
+	}
+	for _, s := range u.Machines {
+		l.machineState(now, s)
+	}
+	if u.Seq == b.offerSeq {
+		b.offered = false
+	}
+	l.stirred = true
+}
+
+func (l *Leader) tick(now clock.Micros) {
+	if !l.loaded || !l.authorised(now) {
+		return
+	}
+	l.stirred = true
+	l.assign(now)
+	for _, ref := range slices.Sorted(maps.Keys(l.jobs)) {
+		l.persist(now, l.jobs[ref])
+	}
+	if now-l.lastCounts >= clock.Second {
+		l.lastCounts = now
+		l.tellCounts()
+	}
+	l.tendFleet(now)
+}
+
+// assign finds holders for blocks that have none, and evens out.
+func (l *Leader) assign(now clock.Micros) {
+	for _, n := range l.nodes {
+		if now-n.heard > 4*clock.Second {
+			delete(l.nodes, n.name)
+		}
+	}
+	// Give the other controllers a moment to link up, so that blocks stay where they are.
+	if len(l.nodes) < l.cfg.Facts.InitialSize && now-l.began < 1200*clock.Millisecond {
+		return
+	}
+	if len(l.nodes) == 0 {
+		return
+	}
+	names := slices.Sorted(maps.Keys(l.nodes))
+	// A holder that the state service alone refuses cannot record starts.
+	if able := slices.DeleteFunc(slices.Clone(names), func(n string) bool { return l.refusedByStore(n, now) }); len(able) > 0 {
+		names = able
+	}
+	count := map[string]int{}
+	var homeless []*lblock
+	for _, b := range l.blocks {
+		if b.state == writing || b.state == reading {
+			if n := l.nodes[b.holder]; n != nil {
+				count[b.holder]++
+			}
+			continue
+		}
+		n := l.nodes[b.holder]
+		if b.state == granted && n != nil && n.link == b.link && slices.Contains(names, n.name) {
+			count[b.holder]++
+			continue
+		}
+		homeless = append(homeless, b)
+	}
+	fair := (len(l.blocks) + len(names) - 1) / len(names)
+	var todo []*lblock
+	var rest []*lblock
+	for _, b := range homeless {
+		// Its last holder still knows the machines.
+		if slices.Contains(names, b.holder) && count[b.holder] < fair {
+			count[b.holder]++
+			todo = append(todo, b)
+		} else {
+			rest = append(rest, b)
+		}
+	}
+	least := func() string {
+		return slices.MinFunc(names, func(a, c string) int { return 2*count[a] + l.bias(a) - 2*count[c] - l.bias(c) })
+	}
+	for _, b := range rest {
+		b.holder = least()
+		count[b.holder]++
+		todo = append(todo, b)
+	}
+	if len(todo) == 0 {
+		to := least()
+		for _, b := range l.blocks {
+			if b.state == granted && count[b.holder] >= count[to]+2 && now-l.nodes[to].joined > 2*clock.Second {
+				b.holder = to
+				todo = append(todo, b)
+				break
+			}
+		}
+	}
+	for len(todo) > 0 {
+		k := min(len(todo), l.cfg.Facts.State.TxnOps)
+		l.writeBlocks(todo[:k])
+		todo = todo[k:]
+	}
+}
+
+func (l *Leader) refusedByStore(name string, now clock.Micros) bool {
+	n := l.nodes[name]
+	return n.badSince > 0 && now-n.badSince > 3*clock.Second
+}
+
+// bias lets the leader have fewer blocks, as it has more to do.
+func (l *Leader) bias(name string) int {
+	if name == l.self {
+		return 1
+	}
+	return 0
+}
+
+type blocksTag struct{ tokens map[int]uint64 }
+
+func (l *Leader) writeBlocks(bs []*lblock) {
+	tag := blocksTag{map[int]uint64{}}
+	var guards []wire.Guard
+	var writes []wire.Write
+	for _, b := range bs {
+		l.tokens++
+		if l.tokens >= 1<<12 {
+			l.emit(Resign{"all tokens of this epoch are used"})
+			return
+		}
+		b.state = writing
+		b.token = l.epoch<<12 | l.tokens
+		b.link = l.nodes[b.holder].link
+		tag.tokens[b.id] = b.token
+		guards = append(guards, wire.Guard{Key: block.Key(b.id), Version: b.stamp})
+		writes = append(writes, put(block.Key(b.id), BlockRecord{Token: b.token, Holder: b.holder, Run: l.nodes[b.holder].run}))
+	}
+	l.commit(store.Urgent, tag, guards, writes)
+}
+
+func (l *Leader) blocksWritten(now clock.Micros, tag blocksTag, o store.Outcome) {
+	for id, token := range tag.tokens {
+		b := l.blocks[id]
+		if b.state != writing || b.token != token {
+			continue
+		}
+		if o.OK {
+			b.stamp = o.Revision
+			b.state = reading
+			l.emit(LoadRecords{l.epoch, id, token})
+			continue
+		}
+		// Only a try of our own that got no answer can have changed the key.
+		l.emit(ReadKey{l.epoch, block.Key(id), tag})
+	}
+}
+
+func (l *Leader) records(now clock.Micros, m Records) {
+	b := l.blocks[m.Block]
+	if b.state != reading || b.token != m.Token {
+		return
+	}
+	old := b.tasks
+	b.tasks = map[peer.Task]*held{}
+	b.unstored = nil
+	b.offered = false
+	b.orders = peer.BlockOrders{Block: b.id, Token: b.token}
+	for _, h := range old {
+		l.charge(h, -1)
+	}
+	for _, pg := range m.Pages {
+		for i := range pg.Groups {
+			g := &pg.Groups[i]
+			for _, r := range g.Records {
+				t := peer.Task{Job: g.Job, Index: r.Index}
+				if b.tasks[t] != nil {
+					continue
+				}
+				h := &held{team: g.Team, cpus: g.CPUs, gpus: g.GPUs, machine: r.Machine, since: now}
+				if mc := l.machines[r.Machine]; mc != nil {
+					h.zone = mc.opt.Zone
+				}
+				b.tasks[t] = h
+				l.charge(h, 1)
+				j := l.jobs[t.Job]
+				if old[t] == nil && j != nil {
+					j.takeOut(t.Index)
+				}
+				if j == nil || j.cancelled {
+					b.orders.Stop = append(b.orders.Stop, peer.StopTask{Task: t})
+				}
+			}
+		}
+	}
+	// What has no record cannot have been started: the record's guard would fail now.
+	for t := range old {
+		if b.tasks[t] == nil {
+			if j := l.jobs[t.Job]; j != nil {
+				j.giveBack(t.Index)
+			}
+		}
+	}
+	b.state = granted
+	var names []string
+	for name := range l.machines {
+		if block.Of(name, len(l.blocks)) == b.id {
+			names = append(names, name)
+			if l.machines[name].drain {
+				b.orders.Drain = append(b.orders.Drain, name)
+			}
+		}
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		l.machines[name].state.Fit = false
+	}
+	l.emit(Tell{b.link, peer.Down{Epoch: l.epoch, Holders: l.holders(),
+		Grants: []peer.Grant{{Block: b.id, Token: b.token, Stamp: b.stamp, Pages: m.Pages, Machines: names}}}})
+	for _, n := range l.nodes {
+		if n.link != b.link {
+			l.emit(Tell{n.link, peer.Down{Epoch: l.epoch, Holders: l.holders()}})
+		}
+	}
+	l.emit(Log{Debug: true, Text: "block granted", Args: []any{"block", b.id, "holder", b.holder, "token", b.token, "tasks", len(b.tasks)}})
+}
+
+func (l *Leader) charge(h *held, sign float64) {
+	u := l.usage[h.team]
+	if u == nil {
+		u = &use{}
+		l.usage[h.team] = u
+	}
+	u.cpus += sign * h.cpus
+	u.gpus += sign * h.gpus
+}
+
+// release takes a task out of a block's grant.
+func (l *Leader) release(b *lblock, t peer.Task) *held {
+	h := b.tasks[t]
+	if h != nil {
+		delete(b.tasks, t)
+		l.charge(h, -1)
+	}
+	return h
+}
+
+func (l *Leader) event(now clock.Micros, b *lblock, e peer.Event) {
+	j := l.jobs[e.Job]
+	switch e.Kind {
+	case peer.Started:
+		if h := b.tasks[e.Task]; h != nil {
+			h.machine = e.Machine
+			h.since = now
+			if m := l.machines[e.Machine]; m != nil {
+				h.zone = m.opt.Zone
+			}
+		}
+	case peer.Running:
+		if h := b.tasks[e.Task]; h != nil && !h.running {
+			h.running, h.since = true, now
+			if j != nil {
+				j.running++
+			}
+		}
+	case peer.Unplaced, peer.Back, peer.Errored, peer.Done:
+		h := l.release(b, e.Task)
+		if h != nil && h.running && j != nil {
+			j.running--
+		}
+		if e.Kind == peer.Done {
+			l.done(now, b, j, e)
+			if h != nil && j != nil {
+				j.gone(e.Index)
+			}
+			return
+		}
+		if h != nil && j != nil {
+			j.giveBack(e.Index)
+		}
+		if e.Kind == peer.Errored && j != nil {
+			l.errored(now, j, e.Machine)
+		}
+	}
+}
+
+func (l *Leader) done(now clock.Micros, b *lblock, j *job, e peer.Event) {
+	if m := l.machines[e.Machine]; m != nil {
+		m.errRun = 0
+		clear(m.errs)
+	}
+	if j == nil || j.cancelled || j.stored(e.Index) {
+		b.orders.Stored = append(b.orders.Stored, e.Task)
+		return
+	}
+	b.unstored = append(b.unstored, e.Task)
+	j.okay = true
+	if j.markDone(e.Index) && e.Secs > 1 && j.rec.Spec.EstimateS > 0 {
+		c := l.classes[j.rec.Spec.Class]
+		if c == nil {
+			c = &classStat{ratio: 1}
+			l.classes[j.rec.Spec.Class] = c
+		}
+		c.n++
+		c.ratio += (e.Secs/j.rec.Spec.EstimateS - c.ratio) / float64(min(c.n, 50))
+	}
+	l.persist(now, j)
+}
+
+// flush sends what has gathered for the holders.
+func (l *Leader) flush() {
+	byLink := map[any]*peer.Down{}
+	var links []any
+	for _, b := range l.blocks {
+		o := &b.orders
+		if b.state != granted || len(o.Offers)+len(o.Stop)+len(o.Stored)+len(o.Use)+len(o.Drain)+len(o.Gone) == 0 {
+			continue
+		}
+		o.Block, o.Token = b.id, b.token
+		d := byLink[b.link]
+		if d == nil {
+			d = &peer.Down{Epoch: l.epoch}
+			byLink[b.link] = d
+			links = append(links, b.link)
+		}
+		d.Orders = append(d.Orders, *o)
+		b.orders = peer.BlockOrders{}
+	}
+	for _, link := range links {
+		l.emit(Tell{link, *byLink[link]})
+	}
+}
+
+func (l *Leader) tellCounts() {
+	var out []peer.TaskCount
+	for _, ref := range slices.Sorted(maps.Keys(l.jobs)) {
+		j := l.jobs[ref]
+		c := peer.TaskCount{Job: ref, Done: j.nDone, Running: j.running}
+		if l.counts[ref] != c {
+			l.counts[ref] = c
+			out = append(out, c)
+		}
+	}
+	if len(out) == 0 {
+		return
+	}
+	for _, n := range l.nodes {
+		l.emit(Tell{n.link, peer.Down{Epoch: l.epoch, Counts: out}})
+	}
+}
+
+func (l *Leader) committed(now clock.Micros, m Committed) {
+	if m.Outcome.FailedOn(Key) {
+		l.emit(Resign{"the leader key has changed"})
+		return
+	}
+	switch tag := m.Tag.(type) {
+	case blocksTag:
+		l.blocksWritten(now, tag, m.Outcome)
+	case persistTag:
+		l.persisted(now, tag, m)
+	case fleetTag:
+		l.fleetWritten(now, tag, m)
+	}
+}
+
+func (l *Leader) read(now clock.Micros, m Read) {
+	switch tag := m.Tag.(type) {
+	case blocksTag:
+		for id, token := range tag.tokens {
+			b := l.blocks[id]
+			if block.Key(id) != m.Item.Key || b.state != writing || b.token != token {
+				continue
+			}
+			b.stamp = m.Item.Version
+			var r BlockRecord
+			if m.Found && json.Unmarshal(m.Item.Value, &r) == nil && r.Token == token {
+				b.state = reading
+				l.emit(LoadRecords{l.epoch, id, token})
+			} else {
+				b.state = loose
+			}
+		}
+	case persistTag:
+		l.reread(tag, m)
+	}
+}
--- /dev/null
+++ b/internal/leader/machines.go
@@ -0,0 +1,413 @@
+package leader
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"swiftledge/internal/block"
+	"swiftledge/internal/clock"
+	"swiftledge/internal/fleet"
+	"swiftledge/internal/peer"
+	"swiftledge/internal/store"
+	"swiftledge/wire"
+)
+
+func (l *Leader) blockOf(machine string) *lblock { return l.blocks[block.Of(machine, len(l.blocks))] }
+
+type fleetTag struct{ key string }
+
+func (l *Leader) loadRental(now clock.Micros, it wire.Item, r FleetRecord) {
+	rt := &rental{key: it.Key, stamp: it.Version, rec: r}
+	l.rentals[it.Key] = rt
+	if !r.Asked {
+		// The answer was lost with a former leader; the same name gives the same machines.
+		rt.busy, rt.asked = true, now
+		l.emit(Rent{l.epoch, r.Rental})
+		return
+	}
+	for _, name := range r.Machines {
+		l.addMachine(now, name, rt)
+	}
+}
+
+func (l *Leader) option(r wire.Rental) fleet.Option {
+	t, ok := l.types[r.Type]
+	if !ok {
+		t = wire.MachineType{Name: r.Type}
+	}
+	return fleet.Option{Type: t, Zone: r.Zone, Spot: r.Spot}
+}
+
+func (l *Leader) addMachine(now clock.Micros, name string, rt *rental) {
+	if l.machines[name] != nil {
+		return
+	}
+	l.machines[name] = &machine{name: name, rental: rt.key, opt: l.option(rt.rec.Rental), born: now, idle: now}
+	delete(l.found, name)
+	if b := l.blockOf(name); b.state == granted {
+		b.orders.Use = append(b.orders.Use, name)
+	}
+}
+
+// machineState takes in how a holder sees a machine.
+func (l *Leader) machineState(now clock.Micros, s peer.MachineState) {
+	m := l.machines[s.Name]
+	if m == nil {
+		if l.gone[s.Name] {
+			b := l.blockOf(s.Name)
+			b.orders.Gone = append(b.orders.Gone, s.Name)
+		} else if s.Type != "" {
+			l.found[s.Name] = wire.Machine{Name: s.Name, Type: s.Type, Zone: s.Zone, Spot: s.Spot}
+		}
+		return
+	}
+	if s.Type == "" {
+		return // known by name only, not heard yet
+	}
+	m.up = true
+	if s.Tasks > 0 || m.state.Tasks > 0 {
+		m.idle = now
+	}
+	if s.Notice && !m.state.Notice {
+		l.saveTasks(m)
+	}
+	m.state = s
+}
+
+// saveTasks stops the tasks that can save their progress before their machine goes.
+func (l *Leader) saveTasks(m *machine) {
+	b := l.blockOf(m.name)
+	for t, h := range b.tasks {
+		if j := l.jobs[t.Job]; h.machine == m.name && j != nil && j.rec.Spec.CheckpointS > 0 {
+			b.orders.Stop = append(b.orders.Stop, peer.StopTask{Task: t, Save: true})
+		}
+	}
+}
+
+func (l *Leader) drain(m *machine, why string) {
+	m.drain = true
+	b := l.blockOf(m.name)
+	b.orders.Drain = append(b.orders.Drain, m.name)
+	l.saveTasks(m)
+	l.info("draining machine", "machine", m.name, "why", why)
+}
+
+func (l *Leader) listedMachines(now clock.Micros, list []wire.Machine) {
+	seen := map[string]bool{}
+	for _, w := range list {
+		seen[w.Name] = true
+		m := l.machines[w.Name]
+		if m == nil {
+			if !l.gone[w.Name] {
+				l.found[w.Name] = w
+			}
+			continue
+		}
+		if m.listed == 0 {
+			m.born = min(m.born, now-clock.FromSeconds(w.AgeS))
+		}
+		m.listed, m.missing = now, 0
+		if w.State == wire.Failed {
+			m.missing = 1000
+		}
+	}
+	for _, m := range l.machines {
+		if m.listed > 0 && !seen[m.name] {
+			m.missing++
+		}
+	}
+}
+
+// tendFleet rents, returns and gives up machines.
+func (l *Leader) tendFleet(now clock.Micros) {
+	if now-l.lastFleet < clock.Second/2 {
+		return
+	}
+	l.lastFleet = now
+	lag := clock.FromSeconds(l.cfg.Facts.Cloud.ListLagS)
+	if !l.listing && now-l.lastList > max(lag/2, 2*clock.Second) {
+		l.listing, l.lastList = true, now
+		l.emit(List{})
+	}
+	if l.listing && now-l.lastList > 30*clock.Second {
+		l.listing = false
+	}
+	every := 60 * clock.Second
+	if len(l.types) == 0 {
+		every = 3 * clock.Second
+	}
+	if now-l.catalogAt > every {
+		l.catalogAt = now
+		l.emit(ReadCatalog{})
+	}
+	if len(l.types) == 0 {
+		return
+	}
+	l.adopt(now)
+	pending := 0
+	for _, key := range slices.Sorted(maps.Keys(l.rentals)) {
+		rt := l.rentals[key]
+		if !rt.rec.Asked {
+			pending++
+			if rt.busy && rt.asked > 0 && now-rt.asked > 8*clock.Second {
+				rt.asked = now
+				l.emit(Rent{l.epoch, rt.rec.Rental})
+			}
+		} else if !rt.busy {
+			l.tidyRental(rt)
+		}
+	}
+	doomed := l.doomed(now)
+	if len(doomed) == 0 && pending < 4 {
+		doomed = l.plan(now)
+	}
+	if len(doomed) > 0 && !l.deleting {
+		doomed = doomed[:min(len(doomed), 100)]
+		l.deleting = true
+		for _, name := range doomed {
+			l.machines[name].deleting = true
+		}
+		l.emit(Delete{l.epoch, doomed})
+	}
+}
+
+// adopt takes machines into the roster that nobody here knows to have rented.
+func (l *Leader) adopt(now clock.Micros) {
+	if len(l.found) == 0 {
+		return
+	}
+	for _, rt := range l.rentals {
+		if !rt.rec.Asked {
+			return // they may be this rental's
+		}
+	}
+	byKind := map[wire.Rental][]string{}
+	for _, name := range slices.Sorted(maps.Keys(l.found)) {
+		w := l.found[name]
+		k := wire.Rental{Type: w.Type, Zone: w.Zone, Spot: w.Spot}
+		byKind[k] = append(byKind[k], name)
+	}
+	clear(l.found)
+	for k, names := range byKind {
+		l.rentSeq++
+		rt := &rental{key: fmt.Sprintf("%sfound-%d-%d", FleetPrefix, l.epoch, l.rentSeq), busy: true,
+			rec: FleetRecord{Rental: k, Machines: names, Asked: true}}
+		l.rentals[rt.key] = rt
+		l.writeRental(rt)
+	}
+}
+
+func (l *Leader) writeRental(rt *rental) {
+	rt.busy = true
+	l.commit(store.Starts, fleetTag{rt.key}, []wire.Guard{{Key: rt.key, Version: rt.stamp}}, []wire.Write{put(rt.key, rt.rec)})
+}
+
+// tidyRental takes machines that are gone out of the durable roster.
+func (l *Leader) tidyRental(rt *rental) {
+	left := slices.DeleteFunc(slices.Clone(rt.rec.Machines), func(n string) bool { return l.gone[n] })
+	if len(left) == len(rt.rec.Machines) && len(left) > 0 {
+		return
+	}
+	rt.rec.Machines = left
+	if len(left) == 0 {
+		delete(l.rentals, rt.key)
+		l.commit(store.Lazy, nil, nil, []wire.Write{{Delete: rt.key}})
+		return
+	}
+	l.writeRental(rt)
+}
+
+func (l *Leader) fleetWritten(now clock.Micros, tag fleetTag, m Committed) {
+	rt := l.rentals[tag.key]
+	if rt == nil {
+		return
+	}
+	// Only this epoch's leader writes the key, so a failed guard is an earlier try that went through.
+	if !m.Outcome.OK && !(m.Outcome.FailedOn(tag.key) && m.Outcome.Unsure) {
+		l.info("roster write failed", "key", tag.key, "error", m.Err)
+		delete(l.rentals, tag.key)
+		return
+	}
+	rt.busy = false
+	if m.Outcome.OK {
+		rt.stamp = m.Outcome.Revision
+	}
+	if !rt.rec.Asked {
+		rt.busy, rt.asked = true, now
+		l.emit(Rent{l.epoch, rt.rec.Rental})
+		return
+	}
+	for _, name := range rt.rec.Machines {
+		if !l.gone[name] {
+			l.addMachine(now, name, rt)
+		}
+	}
+}
+
+func optionKey(o fleet.Option) string { return fmt.Sprintf("%s/%s/%t", o.Type.Name, o.Zone, o.Spot) }
+
+func (l *Leader) rented(now clock.Micros, m Rented) {
+	rt := l.rentals[FleetPrefix+m.Request]
+	if rt == nil || rt.rec.Asked {
+		return
+	}
+	switch {
+	case m.Err == nil:
+		rt.rec.Machines, rt.rec.Asked = m.Machines, true
+		if len(m.Machines) < rt.rec.Rental.Count {
+			l.refused[optionKey(l.option(rt.rec.Rental))] = now + 15*clock.Second
+		}
+		l.emit(Log{Debug: true, Text: "rented", Args: []any{"request", m.Request, "count", len(m.Machines), "type", rt.rec.Rental.Type, "spot", rt.rec.Rental.Spot}})
+		if len(m.Machines) == 0 {
+			l.tidyRental(rt)
+			return
+		}
+		l.writeRental(rt)
+	case m.NoCapacity:
+		l.refused[optionKey(l.option(rt.rec.Rental))] = now + 15*clock.Second
+		rt.rec.Asked = true
+		l.tidyRental(rt)
+	}
+	// Any other failure: asked again under the same name after a while.
+}
+
+func (l *Leader) deleted(now clock.Micros, m Deleted) {
+	l.deleting = false
+	for _, name := range m.Machines {
+		mc := l.machines[name]
+		if mc == nil {
+			continue
+		}
+		if m.Err != nil {
+			mc.deleting = false
+			continue
+		}
+		delete(l.machines, name)
+		l.gone[name] = true
+		if b := l.blockOf(name); b.state == granted {
+			b.orders.Gone = append(b.orders.Gone, name)
+		}
+	}
+}
+
+// doomed are machines that serve nobody any more.
+func (l *Leader) doomed(now clock.Micros) []string {
+	silent := map[*lblock]int{}
+	up := map[*lblock]int{}
+	for _, m := range l.machines {
+		b := l.blockOf(m.name)
+		if m.up {
+			up[b]++
+			if m.state.Silent {
+				silent[b]++
+			}
+		}
+	}
+	lag := clock.FromSeconds(l.cfg.Facts.Cloud.ListLagS)
+	var out []string
+	for _, name := range slices.Sorted(maps.Keys(l.machines)) {
+		m := l.machines[name]
+		b := l.blockOf(name)
+		if m.deleting {
+			continue
+		}
+		late := clock.FromSeconds(m.opt.Type.BootS*l.cfg.Tuning.Fleet.LateFactor) + lag
+		why := ""
+		switch {
+		case m.missing >= 1000:
+			why = "failed"
+		case m.missing >= 3 && (m.state.Silent || !m.up):
+			why = "no longer listed"
+		// Many silent machines at once point at the holder, not at them.
+		case m.state.Silent && (silent[b]*2 < up[b] || silent[b] == 1):
+			why = "silent"
+		case !m.up && b.state == granted && now-m.born > late:
+			why = "never came up"
+		case m.drain && m.up && m.state.Tasks == 0 && !b.offered:
+			why = "drained"
+		}
+		if why != "" {
+			out = append(out, name)
+			l.emit(Log{Debug: true, Text: "giving machine up", Args: []any{"machine", name, "why", why}})
+		}
+	}
+	return out
+}
+
+// plan rents what the queues need and names idle machines to return.
+func (l *Leader) plan(now clock.Micros) []string {
+	type shape struct {
+		cpus, gpus, mem float64
+		types, zone     string
+		spot            bool
+	}
+	byShape := map[shape]*fleet.Need{}
+	var needs []*fleet.Need
+	room := map[string]float64{}
+	for _, ref := range slices.Sorted(maps.Keys(l.jobs)) {
+		j := l.jobs[ref]
+		s := &j.rec.Spec
+		left := s.Tasks - j.nDone
+		if left <= 0 || now < j.notBefore {
+			continue
+		}
+		team, _ := l.cfg.Team(s.Team)
+		if _, ok := room[s.Team]; !ok {
+			room[s.Team] = team.CPUsMax
+		}
+		n := left
+		if s.CPUs > 0 {
+			n = min(n, int(room[s.Team]/s.CPUs+1e-9))
+		}
+		room[s.Team] -= float64(n) * s.CPUs
+		k := shape{s.CPUs, s.GPUs, s.MemoryGB, fmt.Sprint(s.Types), s.Zone, s.Spot}
+		need := byShape[k]
+		if need == nil {
+			need = &fleet.Need{CPUs: s.CPUs, GPUs: s.GPUs, Memory: s.MemoryGB, Types: s.Types, Zone: s.Zone, Spot: s.Spot}
+			byShape[k] = need
+			needs = append(needs, need)
+		}
+		need.Tasks += n
+		need.Seconds += float64(left) * l.remaining(j)
+	}
+	flat := make([]fleet.Need, len(needs))
+	for i, n := range needs {
+		flat[i] = *n
+	}
+	var supply []fleet.Supply
+	idleFor := clock.FromSeconds(l.cfg.Tuning.Fleet.IdleS)
+	for _, name := range slices.Sorted(maps.Keys(l.machines)) {
+		m := l.machines[name]
+		if m.deleting || m.drain || m.state.Notice || m.state.Silent {
+			continue
+		}
+		idle := m.up && m.state.Tasks == 0 && !l.blockOf(name).offered
+		supply = append(supply, fleet.Supply{Option: m.opt, Name: name, Idle: idle,
+			Keep: now-m.idle < idleFor || now-m.born < 55*clock.Second})
+	}
+	for _, rt := range l.rentals {
+		if !rt.rec.Asked {
+			for range rt.rec.Rental.Count {
+				supply = append(supply, fleet.Supply{Option: l.option(rt.rec.Rental)})
+			}
+		}
+	}
+	var opts []fleet.Option
+	for _, t := range l.typeList {
+		for _, z := range t.ZoneNames {
+			opts = append(opts, fleet.Option{Type: t, Zone: z}, fleet.Option{Type: t, Zone: z, Spot: true})
+		}
+	}
+	rent, giveBack := fleet.Plan(flat, supply, opts,
+		fleet.Params{SpotClearS: l.cfg.Tuning.Fleet.SpotClearS, OrdinaryClearS: l.cfg.Tuning.Fleet.OrdinaryClearS},
+		func(o fleet.Option) bool { return now >= l.refused[optionKey(o)] })
+	for _, o := range rent {
+		l.rentSeq++
+		req := fmt.Sprintf("r-%d-%d", l.epoch, l.rentSeq)
+		rt := &rental{key: FleetPrefix + req, rec: FleetRecord{Rental: wire.Rental{Request: req, Type: o.Type.Name, Zone: o.Zone, Spot: o.Spot, Count: o.Count}}}
+		l.rentals[rt.key] = rt
+		l.writeRental(rt)
+	}
+	return giveBack
+}
--- /dev/null
+++ b/internal/leader/messages.go
@@ -0,0 +1,194 @@
+// Package leader is the leading controller's part: jobs, team queues, limits,
+// block grants and the fleet. It holds no I/O: a message and the time give effects.
+package leader
+
+import (
+	"swiftledge/internal/clock"
+	"swiftledge/internal/peer"
+	"swiftledge/internal/store"
+	"swiftledge/wire"
+)
+
+// Store keys of the leader.
+const (
+	Key         = "leader"
+	LayoutKey   = "layout"
+	CatalogKey  = "catalog"
+	JobPrefix   = "job/"
+	EndPrefix   = "over/"
+	ProgPrefix  = "prog/"
+	FleetPrefix = "fleet/"
+)
+
+// JobRecord is the value of job/<ref>.
+type JobRecord struct {
+	Spec wire.Job     `json:"spec"`
+	At   clock.Micros `json:"at"` // time of day of the acceptance
+}
+
+// EndRecord is the value of over/<ref>: a final state, kept for ever.
+type EndRecord struct {
+	State string `json:"state"`
+	Tasks int    `json:"tasks"`
+}
+
+// ProgRecord is the value of prog/<ref>/<chunk>: a bit for each completed task.
+type ProgRecord struct {
+	Bits []byte `json:"b"`
+}
+
+// ChunkTasks is how many tasks' bits one prog/ key holds.
+const ChunkTasks = 8192
+
+// BlockRecord is the value of block/<n>.
+type BlockRecord struct {
+	Token  uint64 `json:"token"`
+	Holder string `json:"holder"`
+	Run    uint64 `json:"run"`
+}
+
+// LayoutRecord fixes how machines are split into blocks.
+type LayoutRecord struct {
+	Blocks int `json:"blocks"`
+}
+
+// FleetRecord is a rental, or machines that were found: the durable roster.
+type FleetRecord struct {
+	Rental   wire.Rental `json:"rental"`
+	Machines []string    `json:"machines"`
+	Asked    bool        `json:"asked"` // the answer is known
+}
+
+// Messages to a Leader.
+type (
+	// Elected begins an epoch; every write guards on Epoch, the leader key's version.
+	Elected struct {
+		Epoch uint64
+		Run   uint64
+	}
+	// Authority says until when the leader may act without a further renewal.
+	Authority struct{ Until clock.Micros }
+	// Deposed ends the epoch.
+	Deposed struct{}
+	// Loaded is the store's content at the start of an epoch.
+	Loaded struct {
+		Epoch    uint64
+		Items    []wire.Item
+		Revision uint64
+	}
+	// Joined is a new link to a controller, maybe to ourselves.
+	Joined struct {
+		Node string
+		Run  uint64
+		Link any
+	}
+	// Left is its end.
+	Left struct {
+		Node string
+		Link any
+	}
+	// Said is what a holder says.
+	Said struct {
+		Node string
+		Link any
+		Up   *peer.Up
+	}
+	// Watched are changes of jobs.
+	Watched struct {
+		Epoch  uint64
+		Events []wire.Event
+	}
+	// Committed is the end of a transaction.
+	Committed struct {
+		Epoch   uint64
+		Tag     any
+		Outcome store.Outcome
+		Err     error
+	}
+	// Records are a block's start records, read after its key was written.
+	Records struct {
+		Epoch uint64
+		Block int
+		Token uint64
+		Pages map[string]peer.RecordPage
+	}
+	// Read is one key that was asked for.
+	Read struct {
+		Epoch uint64
+		Tag   any
+		Item  wire.Item
+		Found bool
+	}
+	// CatalogRead is the cloud's catalog.
+	CatalogRead struct{ Types []wire.MachineType }
+	// Listed is the cloud's full machine list.
+	Listed struct{ Machines []wire.Machine }
+	// Rented is a rental's end.
+	Rented struct {
+		Epoch      uint64
+		Request    string
+		Machines   []string
+		NoCapacity bool
+		Err        error
+	}
+	// Deleted is a deletion's end; when Err is nil the machines are gone.
+	Deleted struct {
+		Epoch    uint64
+		Machines []string
+		Err      error
+	}
+	// Tick lets time pass.
+	Tick struct{}
+)
+
+// Effects of a Leader.
+type (
+	// Tell goes to a holder.
+	Tell struct {
+		Link any
+		Down peer.Down
+	}
+	// Load asks for all that the store holds of ours, and a watch of the jobs from there on.
+	Load struct{ Epoch uint64 }
+	// LoadRecords asks for a block's start records.
+	LoadRecords struct {
+		Epoch uint64
+		Block int
+		Token uint64
+	}
+	// Commit is a transaction; Guards on the epoch are part of it.
+	Commit struct {
+		Epoch uint64
+		Prio  int
+		Txn   wire.Txn
+		Tag   any
+	}
+	// ReadKey asks for one key.
+	ReadKey struct {
+		Epoch uint64
+		Key   string
+		Tag   any
+	}
+	// Rent asks the cloud for machines.
+	Rent struct {
+		Epoch  uint64
+		Rental wire.Rental
+	}
+	// Delete returns machines.
+	Delete struct {
+		Epoch    uint64
+		Machines []string
+	}
+	// List asks for the machine list.
+	List struct{}
+	// ReadCatalog asks for the catalog.
+	ReadCatalog struct{}
+	// Resign gives up the epoch.
+	Resign struct{ Why string }
+	// Info and Debug are log lines.
+	Log struct {
+		Debug bool
+		Text  string
+		Args  []any
+	}
+)
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,651 @@
+// Package node wires the actors of one controller: it carries out their effects
+// and brings the results back to them as messages.
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"swiftledge/internal/api"
+	"swiftledge/internal/block"
+	"swiftledge/internal/clock"
+	"swiftledge/internal/cloud"
+	"swiftledge/internal/config"
+	"swiftledge/internal/election"
+	"swiftledge/internal/leader"
+	"swiftledge/internal/peer"
+	"swiftledge/internal/placement"
+	"swiftledge/internal/store"
+	"swiftledge/wire"
+)
+
+// mailbox is how an actor is spoken to.
+type mailbox chan any
+
+const mailboxSize = 4096
+
+// localLink stands for the way from the leader to the holder of the same process.
+type localLink struct{ epoch uint64 }
+
+// holderUp and holderDown change who the holder speaks to: a *peer.Link or a localLink.
+type (
+	holderUp struct {
+		epoch uint64
+		link  any
+	}
+	holderDown struct {
+		epoch uint64
+		link  any
+	}
+	askEpoch struct{ answer chan uint64 }
+)
+
+// Node is one controller.
+type Node struct {
+	cfg     *config.Config
+	log     *slog.Logger
+	clock   clock.Steady
+	run     uint64
+	store   *store.Client
+	health  *health
+	cloud   *cloud.Client
+	workers *fasthttp.Client
+	desk    *api.Desk
+
+	elector, leader, holder mailbox
+	cloudWork               chan func()
+	directs                 chan struct{}
+}
+
+// New makes a node; Serve runs it.
+func New(cfg *config.Config, log *slog.Logger) *Node {
+	n := &Node{cfg: cfg, log: log, clock: clock.NewSteady(), run: rand.Uint64() >> 1,
+		elector: make(mailbox, mailboxSize), leader: make(mailbox, mailboxSize), holder: make(mailbox, mailboxSize),
+		cloudWork: make(chan func(), 64), directs: make(chan struct{}, 24)}
+	n.health = newHealth()
+	n.store = store.New(cfg.Endpoints.State, n.share(false), n.health.note)
+	n.cloud = cloud.New(cfg.Endpoints.Cloud, cfg.Facts.Cloud.RPS)
+	n.workers = &fasthttp.Client{MaxConnsPerHost: 3, MaxIdemponentCallAttempts: 1, MaxIdleConnDuration: 40 * time.Second,
+		RetryIfErr:               func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		NoDefaultUserAgentHeader: true, ReadBufferSize: 2048, WriteBufferSize: 2048,
+		Dial: func(a string) (net.Conn, error) {
+			c, err := fasthttp.DialTimeout(a, time.Second)
+			if err != nil {
+				return nil, fmt.Errorf("%w: %w", errDial, err)
+			}
+			return c, nil
+		}}
+	n.desk = api.NewDesk(cfg, n.clock)
+	return n
+}
+
+var errDial = errors.New("dial")
+
+// share is this node's part of the store's budget: the leader writes most.
+func (n *Node) share(leads bool) store.Budget {
+	nodes := float64(len(n.cfg.Peers) + 1)
+	part := 0.9 / (nodes + 1)
+	if leads {
+		part *= 2
+	}
+	s := n.cfg.Facts.State
+	return store.Budget{RPS: s.RPS * part, Puts: s.WriteRPS * part}
+}
+
+// Serve runs the node until ctx ends or a listener fails.
+func (n *Node) Serve(ctx context.Context) error {
+	back, err := net.Listen("tcp4", n.cfg.Back)
+	if err != nil {
+		return fmt.Errorf("listen for controllers: %w", err)
+	}
+	front, err := net.Listen("tcp4", n.cfg.ServeOn)
+	if err != nil {
+		return fmt.Errorf("listen for users and workers: %w", err)
+	}
+	go n.runElector(ctx)
+	go n.runLeader(ctx)
+	go n.runHolder(ctx)
+	go n.runCloud(ctx)
+	go n.watchLeader(ctx)
+	go n.acceptPeers(back)
+	go n.desk.Run(ctx)
+	svc := api.New(n.cfg, n.store, n.desk, n.health.ok, n.report, n.log)
+	n.log.Info("serving", "node", n.cfg.Name, "on", n.cfg.ServeOn)
+	return svc.Serve(front)
+}
+
+// report hands a worker's report to the holder and waits for its answer.
+func (n *Node) report(r *wire.Report) block.Answer {
+	ch := make(chan block.Answer, 1)
+	n.holder <- block.Report{Tag: ch, R: r}
+	return <-ch
+}
+
+func (n *Node) tick(ctx context.Context, box mailbox, every time.Duration, msg any) {
+	t := time.NewTicker(every)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			select {
+			case box <- msg:
+			default:
+			}
+		}
+	}
+}
+
+func (n *Node) runElector(ctx context.Context) {
+	e := election.New(election.Record{Node: n.cfg.Name, Run: n.run}, clock.FromSeconds(n.cfg.Tuning.Election.TTLS))
+	go n.tick(ctx, n.elector, 150*time.Millisecond, election.Tick{})
+	for msg := range n.elector {
+		if q, ok := msg.(askEpoch); ok {
+			q.answer <- e.Epoch()
+			continue
+		}
+		for _, fx := range e.Step(n.clock.Now(), msg) {
+			n.electorEffect(ctx, fx)
+		}
+	}
+}
+
+func (n *Node) electorEffect(ctx context.Context, fx any) {
+	switch x := fx.(type) {
+	case election.GetLease:
+		go func() {
+			sent := n.clock.Now()
+			id, err := n.store.Grant(short(ctx), x.TTL)
+			n.elector <- election.Leased{Lease: id, Sent: sent, Err: err}
+		}()
+	case election.Claim:
+		go func() {
+			raw, err := json.Marshal(x.Record)
+			if err != nil {
+				n.log.Error("encode leader record", "error", err)
+				return
+			}
+			o, err := n.store.Once(short(ctx), store.Urgent, wire.Txn{If: []wire.Guard{{Key: leader.Key}},
+				Then: []wire.Write{{Put: leader.Key, Value: raw, Lease: x.Lease}}})
+			n.elector <- election.Claimed{Lease: x.Lease, Outcome: o, Err: err}
+		}()
+	case election.Renew:
+		go func() {
+			sent := n.clock.Now()
+			err := n.store.Touch(short(ctx), x.Lease)
+			n.elector <- election.Renewed{Lease: x.Lease, Sent: sent, Err: err}
+		}()
+	case election.Drop:
+		go n.store.Drop(short(ctx), x.Lease)
+	case election.Look:
+		go n.look(ctx)
+	case election.Lead:
+		n.store.SetBudget(n.share(true))
+		n.leader <- leader.Elected{Epoch: x.Epoch, Run: n.run}
+		n.leader <- leader.Authority{Until: x.Until}
+	case election.Extend:
+		n.leader <- leader.Authority{Until: x.Until}
+	case election.Depose:
+		n.log.Info("no longer leading", "epoch", x.Epoch)
+		n.store.SetBudget(n.share(false))
+		n.leader <- leader.Deposed{}
+	case election.Follow:
+		n.log.Info("following", "leader", x.Node, "epoch", x.Epoch)
+		n.desk.Post(api.Following{Epoch: x.Epoch, Node: x.Node})
+		if x.Epoch > 0 {
+			go n.follow(ctx, x.Epoch, x.Node)
+		}
+	}
+}
+
+// short bounds a call that the next tick would repeat anyway.
+func short(ctx context.Context) context.Context {
+	c, cancel := context.WithTimeout(ctx, 2*time.Second)
+	context.AfterFunc(c, cancel)
+	return c
+}
+
+func (n *Node) look(ctx context.Context) (uint64, bool) {
+	items, rev, err := n.store.List(short(ctx), store.Urgent, leader.Key)
+	if err != nil {
+		time.Sleep(200 * time.Millisecond)
+		n.log.Debug("cannot read the leader key", "error", err)
+		return 0, false
+	}
+	seen := election.Seen{Revision: rev}
+	for _, it := range items {
+		if it.Key == leader.Key {
+			seen.Version = it.Version
+			if err := json.Unmarshal(it.Value, &seen.Record); err != nil {
+				n.log.Error("leader record", "error", err)
+			}
+		}
+	}
+	n.elector <- seen
+	return rev, true
+}
+
+// watchLeader tells the elector of every change of the leader key.
+func (n *Node) watchLeader(ctx context.Context) {
+	for ctx.Err() == nil {
+		rev, ok := n.look(ctx)
+		for ok && ctx.Err() == nil {
+			a, err := n.store.Watch(ctx, leader.Key, rev, 10*clock.Second)
+			if err != nil {
+				time.Sleep(100*time.Millisecond + rand.N(200*time.Millisecond))
+				break
+			}
+			rev = max(rev, a.Revision)
+			for _, ev := range a.Events {
+				seen := election.Seen{Revision: ev.Version}
+				if ev.Put == leader.Key {
+					seen.Version = ev.Version
+					if err := json.Unmarshal(ev.Value, &seen.Record); err != nil {
+						n.log.Error("leader record", "error", err)
+						continue
+					}
+				} else if ev.Delete != leader.Key {
+					continue
+				}
+				n.elector <- seen
+			}
+		}
+	}
+}
+
+// follow keeps a link to the leader of an epoch until another epoch begins.
+func (n *Node) follow(ctx context.Context, epoch uint64, name string) {
+	if name == n.cfg.Name {
+		l := localLink{epoch}
+		n.leader <- leader.Joined{Node: n.cfg.Name, Run: n.run, Link: l}
+		n.holder <- holderUp{epoch, l}
+		return
+	}
+	addr := ""
+	for _, p := range n.cfg.Peers {
+		if p.Name == name {
+			addr = p.Address
+		}
+	}
+	if addr == "" {
+		n.log.Error("leader is not among the known controllers", "leader", name)
+		return
+	}
+	for ctx.Err() == nil && n.desk.Epoch() == epoch {
+		l, dec, err := peer.Dial(addr, peer.Hello{Node: n.cfg.Name, Run: n.run, Epoch: epoch})
+		if err != nil {
+			n.log.Debug("cannot reach the leader", "error", err)
+			time.Sleep(200*time.Millisecond + rand.N(100*time.Millisecond))
+			continue
+		}
+		n.holder <- holderUp{epoch, l}
+		l.Follow(dec, func(d *peer.Down) {
+			n.desk.Post(d)
+			n.holder <- d
+		})
+		n.holder <- holderDown{epoch, l}
+	}
+}
+
+func (n *Node) acceptPeers(l net.Listener) {
+	me := peer.Hello{Node: n.cfg.Name, Run: n.run}
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			n.log.Error("accept controller", "error", err)
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
+		go peer.Accept(c, me, func(h peer.Hello) bool {
+			q := askEpoch{make(chan uint64, 1)}
+			n.elector <- q
+			epoch := <-q.answer
+			return epoch > 0 && epoch == h.Epoch
+		}, func(l *peer.Link) {
+			n.leader <- leader.Joined{Node: l.Peer.Node, Run: l.Peer.Run, Link: l}
+		}, func(l *peer.Link, u *peer.Up) {
+			n.leader <- leader.Said{Node: l.Peer.Node, Link: l, Up: u}
+		}, func(l *peer.Link) {
+			n.leader <- leader.Left{Node: l.Peer.Node, Link: l}
+		})
+	}
+}
+
+func (n *Node) runHolder(ctx context.Context) {
+	t := n.cfg.Tuning.Placement
+	h := block.New(block.Params{Node: n.cfg.Name, GrantTime: n.cfg.GrantTime(), Lease: n.cfg.LeaseTime(),
+		ReportTime: clock.FromSeconds(n.cfg.Facts.Workers.ReportS),
+		ValueBytes: int(n.cfg.Facts.State.ValueKB * 1024 * 0.9), TxnOps: n.cfg.Facts.State.TxnOps},
+		placement.Params{K: t.K, Eta: t.Eta, Epsilon: t.Epsilon, Small: t.Small}, n.health.ok)
+	go n.tick(ctx, n.holder, 100*time.Millisecond, block.Tick{})
+	var link any
+	for msg := range n.holder {
+		switch m := msg.(type) {
+		case holderUp:
+			if l, ok := link.(*peer.Link); ok && l != m.link {
+				l.Close()
+			}
+			link = m.link
+			msg = block.Linked{Epoch: m.epoch}
+		case holderDown:
+			if link != m.link {
+				continue
+			}
+			link = nil
+			msg = block.Unlinked{Epoch: m.epoch}
+		}
+		for _, fx := range h.Step(n.clock.Now(), msg) {
+			n.holderEffect(ctx, link, fx)
+		}
+	}
+}
+
+func (n *Node) holderEffect(ctx context.Context, link, fx any) {
+	switch x := fx.(type) {
+	case block.Send:
+		switch l := link.(type) {
+		case *peer.Link:
+			l.Send(&x.Up)
+		case localLink:
+			n.leader <- leader.Said{Node: n.cfg.Name, Link: l, Up: &x.Up}
+		}
+	case block.Answer:
+		x.Tag.(chan block.Answer) <- x
+	case block.Orders:
+		go n.direct(x)
+	case block.Record:
+		go n.record(ctx, x)
+	case block.Erase:
+		go func() {
+			t := wire.Txn{If: []wire.Guard{{Key: block.Key(x.Block), Version: x.Stamp}}}
+			for _, k := range x.Keys {
+				t.Then = append(t.Then, wire.Write{Delete: k})
+			}
+			if _, err := n.store.Once(ctx, store.Lazy, t); err != nil {
+				// They stay as upper bounds until the block's next grant.
+				n.log.Debug("start records not erased", "error", err)
+			}
+		}()
+	}
+}
+
+// direct sends a command to a worker and brings back what became of it.
+func (n *Node) direct(o block.Orders) {
+	n.directs <- struct{}{}
+	defer func() { <-n.directs }()
+	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(res)
+	done := block.Ordered{Orders: o}
+	raw, err := json.Marshal(o.Body)
+	if err != nil {
+		n.log.Error("encode orders", "error", err)
+		return
+	}
+	req.Header.SetMethod("POST")
+	req.Header.SetContentType("application/json")
+	req.SetRequestURI("http://" + o.Address + "/orders")
+	req.SetBodyRaw(raw)
+	switch err := n.workers.DoTimeout(req, res, 3*time.Second); {
+	case errors.Is(err, errDial):
+		done.Status = block.NotSent
+	case err == nil:
+		done.Status = res.StatusCode()
+		var r wire.Report
+		if (done.Status == 200 || done.Status == 409) && json.Unmarshal(res.Body(), &r) == nil && r.Machine == o.Machine {
+			done.R = &r
+		}
+	}
+	n.holder <- done
+}
+
+// record writes a start record; no task of it is ordered before the store has said yes.
+func (n *Node) record(ctx context.Context, r block.Record) {
+	ctx, cancel := context.WithTimeout(ctx, 8*time.Second)
+	defer cancel()
+	raw, err := json.Marshal(r.Page)
+	if err != nil {
+		n.log.Error("encode start record", "error", err)
+		return
+	}
+	o, err := n.store.Commit(ctx, store.Starts, wire.Txn{
+		If:   []wire.Guard{{Key: block.Key(r.Block), Version: r.Stamp}, {Key: r.Key}},
+		Then: []wire.Write{{Put: r.Key, Value: raw}}})
+	done := block.Recorded{Block: r.Block, Token: r.Token, Key: r.Key, OK: o.OK}
+	switch {
+	case err != nil:
+		n.log.Debug("start record not written", "error", err)
+	case o.FailedOn(block.Key(r.Block)):
+		done.Fenced = true
+	case o.FailedOn(r.Key):
+		done.OK = true // an earlier try of ours got no answer, but went through
+	}
+	n.holder <- done
+}
+
+type epoch struct {
+	ctx context.Context
+	end context.CancelFunc
+}
+
+func newEpoch(ctx context.Context) epoch {
+	c, end := context.WithCancel(ctx)
+	return epoch{c, end}
+}
+
+func (n *Node) runLeader(ctx context.Context) {
+	l := leader.New(n.cfg, n.health.ok)
+	go n.tick(ctx, n.leader, 100*time.Millisecond, leader.Tick{})
+	// What an epoch has under way ends with it.
+	ep := newEpoch(ctx)
+	for msg := range n.leader {
+		switch msg.(type) {
+		case leader.Elected, leader.Deposed:
+			ep.end()
+			ep = newEpoch(ctx)
+		}
+		for _, fx := range l.Step(n.clock.Now(), msg) {
+			n.leaderEffect(ep.ctx, fx)
+		}
+	}
+}
+
+func (n *Node) leaderEffect(ctx context.Context, fx any) {
+	switch x := fx.(type) {
+	case leader.Tell:
+		switch l := x.Link.(type) {
+		case *peer.Link:
+			l.Send(&x.Down)
+		case localLink:
+			n.desk.Post(&x.Down)
+			n.holder <- &x.Down
+		}
+	case leader.Load:
+		go n.load(ctx, x.Epoch)
+	case leader.LoadRecords:
+		go n.loadRecords(ctx, x)
+	case leader.Commit:
+		go func() {
+			o, err := n.store.Commit(ctx, x.Prio, x.Txn)
+			if ctx.Err() != nil {
+				return
+			}
+			if err != nil {
+				n.log.Error("transaction failed", "error", err)
+			}
+			n.leader <- leader.Committed{Epoch: x.Epoch, Tag: x.Tag, Outcome: o, Err: err}
+		}()
+	case leader.ReadKey:
+		go func() {
+			for i := 0; ; i++ {
+				it, err := n.store.Get(ctx, store.Starts, x.Key)
+				if err == nil || errors.Is(err, store.ErrMissing) {
+					it.Key = x.Key
+					n.leader <- leader.Read{Epoch: x.Epoch, Tag: x.Tag, Item: it, Found: err == nil}
+					return
+				}
+				if !store.Pause(ctx, i) {
+					return
+				}
+			}
+		}()
+	case leader.Rent:
+		n.toCloud(func() {
+			names, err := n.cloud.Rent(x.Rental)
+			n.leader <- leader.Rented{Epoch: x.Epoch, Request: x.Rental.Request, Machines: names,
+				NoCapacity: errors.Is(err, cloud.ErrNoCapacity), Err: err}
+		})
+	case leader.Delete:
+		n.toCloud(func() {
+			n.leader <- leader.Deleted{Epoch: x.Epoch, Machines: x.Machines, Err: n.cloud.Delete(x.Machines)}
+		})
+	case leader.List:
+		n.toCloud(n.list)
+	case leader.ReadCatalog:
+		n.toCloud(func() {
+			if c, err := n.cloud.Catalog(); err != nil {
+				n.log.Debug("catalog", "error", err)
+			} else {
+				n.leader <- leader.CatalogRead{Types: c.Types}
+			}
+		})
+	case leader.Resign:
+		n.log.Info("resigning", "why", x.Why)
+		go func() {
+			q := askEpoch{make(chan uint64, 1)}
+			n.elector <- q
+			if e := <-q.answer; e > 0 {
+				n.elector <- election.Resign{Epoch: e}
+			}
+		}()
+	case leader.Log:
+		if x.Debug {
+			n.log.Debug(x.Text, x.Args...)
+		} else {
+			n.log.Info(x.Text, x.Args...)
+		}
+	}
+}
+
+// load reads what an epoch starts from and then watches the jobs.
+func (n *Node) load(ctx context.Context, epoch uint64) {
+	for i := 0; ; i++ {
+		var all []wire.Item
+		var rev uint64
+		var err error
+		for k, prefix := range []string{leader.JobPrefix, leader.LayoutKey, leader.CatalogKey, "block/", leader.ProgPrefix, leader.FleetPrefix} {
+			var items []wire.Item
+			var r uint64
+			if items, r, err = n.store.List(ctx, store.Urgent, prefix); err != nil {
+				break
+			}
+			if k == 0 {
+				rev = r
+			}
+			all = append(all, items...)
+		}
+		if err == nil {
+			n.leader <- leader.Loaded{Epoch: epoch, Items: all, Revision: rev}
+			n.watchJobs(ctx, epoch, rev)
+			return
+		}
+		if !store.Pause(ctx, i) {
+			return
+		}
+	}
+}
+
+func (n *Node) watchJobs(ctx context.Context, epoch, rev uint64) {
+	for i := 0; ctx.Err() == nil; {
+		a, err := n.store.Watch(ctx, leader.JobPrefix, rev, 10*clock.Second)
+		switch {
+		case err == nil:
+			i = 0
+			rev = max(rev, a.Revision)
+			if len(a.Events) > 0 && ctx.Err() == nil {
+				n.leader <- leader.Watched{Epoch: epoch, Events: a.Events}
+			}
+		case errors.Is(err, store.ErrGone):
+			// Too far behind: a new epoch reads everything again.
+			n.elector <- election.Resign{Epoch: epoch}
+			return
+		default:
+			i++
+			store.Pause(ctx, i)
+		}
+	}
+}
+
+func (n *Node) loadRecords(ctx context.Context, x leader.LoadRecords) {
+	for i := 0; ; i++ {
+		items, _, err := n.store.List(ctx, store.Urgent, block.RecordPrefix(x.Block))
+		if err == nil {
+			pages := map[string]peer.RecordPage{}
+			for _, it := range items {
+				var p peer.RecordPage
+				if err := json.Unmarshal(it.Value, &p); err != nil {
+					n.log.Error("start record", "key", it.Key, "error", err)
+					continue
+				}
+				pages[it.Key] = p
+			}
+			n.leader <- leader.Records{Epoch: x.Epoch, Block: x.Block, Token: x.Token, Pages: pages}
+			return
+		}
+		if !store.Pause(ctx, i) {
+			return
+		}
+	}
+}
+
+func (n *Node) toCloud(f func()) {
+	select {
+	case n.cloudWork <- f:
+	default:
+		n.log.Debug("cloud calls pile up, one is left out")
+	}
+}
+
+// runCloud makes the cloud calls one after the other, within the limit.
+func (n *Node) runCloud(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-n.cloudWork:
+			start := time.Now()
+			f()
+			if d := n.cloud.Pause() - time.Since(start); d > 0 {
+				time.Sleep(d)
+			}
+		}
+	}
+}
+
+func (n *Node) list() {
+	var all []wire.Machine
+	after := ""
+	for {
+		l, err := n.cloud.List(after)
+		if err != nil {
+			n.log.Debug("machine list", "error", err)
+			return
+		}
+		all = append(all, l.Machines...)
+		if !l.More || len(l.Machines) == 0 {
+			n.leader <- leader.Listed{Machines: all}
+			return
+		}
+		after = l.Machines[len(l.Machines)-1].Name
+		time.Sleep(n.cloud.Pause())
+	}
+}
--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,136 @@
+package peer
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+const (
+	writeTimeout = 2 * time.Second
+	// A link on which nothing has come for this long is dead: both sides speak every second.
+	readTimeout = 4 * time.Second
+)
+
+// Link is one connection between a follower and the leader.
+type Link struct {
+	Peer Hello
+	conn net.Conn
+	out  chan any
+	done chan struct{}
+}
+
+func newLink(c net.Conn, peer Hello) *Link {
+	l := &Link{Peer: peer, conn: c, out: make(chan any, 256), done: make(chan struct{})}
+	go l.write()
+	return l
+}
+
+func (l *Link) write() {
+	defer l.conn.Close()
+	w := bufio.NewWriterSize(l.conn, 8192)
+	enc := msgpack.NewEncoder(w)
+	for {
+		select {
+		case m := <-l.out:
+			l.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+			if enc.Encode(m) != nil {
+				return
+			}
+			if len(l.out) == 0 && w.Flush() != nil {
+				return
+			}
+		case <-l.done:
+			return
+		}
+	}
+}
+
+// Send queues a message. A peer that does not keep up loses its link, since
+// messages must neither be dropped one by one nor pile up without bound.
+func (l *Link) Send(m any) {
+	select {
+	case l.out <- m:
+	default:
+		l.Close()
+	}
+}
+
+// Close ends the link; the reader sees it.
+func (l *Link) Close() { l.conn.Close() }
+
+// read calls f for every message until the link ends.
+func read[T any](l *Link, dec *msgpack.Decoder, f func(*T)) {
+	defer close(l.done)
+	defer l.conn.Close()
+	for {
+		l.conn.SetReadDeadline(time.Now().Add(readTimeout))
+		m := new(T)
+		if dec.Decode(m) != nil {
+			return
+		}
+		f(m)
+	}
+}
+
+// Dial links a follower to the leader at addr and returns after the leader has agreed.
+func Dial(addr string, h Hello) (*Link, *msgpack.Decoder, error) {
+	c, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		return nil, nil, fmt.Errorf("peer: %w", err)
+	}
+	c.SetDeadline(time.Now().Add(writeTimeout))
+	var back Hello
+	dec := msgpack.NewDecoder(bufio.NewReaderSize(c, 8192))
+	raw, err := msgpack.Marshal(h)
+	if err == nil {
+		_, err = c.Write(raw)
+	}
+	if err == nil {
+		err = dec.Decode(&back)
+	}
+	if err == nil && back.Epoch != h.Epoch {
+		err = fmt.Errorf("%s does not lead epoch %d", addr, h.Epoch)
+	}
+	if err != nil {
+		c.Close()
+		return nil, nil, fmt.Errorf("peer: %w", err)
+	}
+	c.SetDeadline(time.Time{})
+	return newLink(c, back), dec, nil
+}
+
+// Follow reads what the leader says until the link ends.
+func (l *Link) Follow(dec *msgpack.Decoder, f func(*Down)) { read(l, dec, f) }
+
+// Accept answers a follower's Hello if agree allows it, then reads until the link ends.
+func Accept(c net.Conn, me Hello, agree func(Hello) bool, joined func(*Link), f func(*Link, *Up), left func(*Link)) {
+	c.SetDeadline(time.Now().Add(writeTimeout))
+	dec := msgpack.NewDecoder(bufio.NewReaderSize(c, 8192))
+	var h Hello
+	if dec.Decode(&h) != nil {
+		c.Close()
+		return
+	}
+	if !agree(h) {
+		me.Epoch = 0
+	} else {
+		me.Epoch = h.Epoch
+	}
+	raw, err := msgpack.Marshal(me)
+	if err == nil {
+		_, err = c.Write(raw)
+	}
+	if err != nil || me.Epoch == 0 {
+		c.Close()
+		return
+	}
+	c.SetDeadline(time.Time{})
+	l := newLink(c, h)
+	joined(l)
+	read(l, dec, func(u *Up) { f(l, u) })
+	left(l)
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,379 @@
+// Package store speaks to the state service within its request and put budget,
+// the important requests first.
+package store
+
+import (
+	"container/heap"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"swiftledge/internal/clock"
+	"swiftledge/wire"
+)
+
+// Priorities of requests for the shared budget.
+const (
+	Urgent  = iota // election, accepts, aborts
+	Starts         // start records, final states
+	Normal         // reads for status, roster
+	Lazy           // progress, clean-up
+	classes = 4
+)
+
+// ErrRefused says that the request was certainly not carried out.
+var ErrRefused = errors.New("state service refused")
+
+// ErrUnknown says that the request may have been carried out, or may be later.
+var ErrUnknown = errors.New("state service gave no answer")
+
+// ErrGone says that a watch's revision is too old.
+var ErrGone = errors.New("revision too old")
+
+// ErrMissing says that the key or lease does not exist.
+var ErrMissing = errors.New("not found")
+
+// Budget is a node's part of the state service's limits.
+type Budget struct{ RPS, Puts float64 }
+
+type ticket struct {
+	prio, seq, puts int
+	ready           chan struct{}
+	ctx             context.Context
+}
+
+type tickets []*ticket
+
+func (t tickets) Len() int { return len(t) }
+func (t tickets) Less(i, j int) bool {
+	if t[i].prio != t[j].prio {
+		return t[i].prio < t[j].prio
+	}
+	return t[i].seq < t[j].seq
+}
+func (t tickets) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+func (t *tickets) Push(x any)   { *t = append(*t, x.(*ticket)) }
+func (t *tickets) Pop() any {
+	old := *t
+	x := old[len(old)-1]
+	*t = old[:len(old)-1]
+	return x
+}
+
+// Client is the state service as one node sees it.
+type Client struct {
+	http, watch *fasthttp.HostClient
+	tickets     chan *ticket
+	budget      chan Budget
+	health      func(ok bool)
+}
+
+// New starts a client; health is told of every answer or failure.
+func New(addr string, b Budget, health func(bool)) *Client {
+	c := &Client{
+		http:    hostClient(addr, 32),
+		watch:   hostClient(addr, 8),
+		tickets: make(chan *ticket, 256),
+		budget:  make(chan Budget, 4),
+		health:  health,
+	}
+	go c.pace(b)
+	return c
+}
+
+// hostClient never retries by itself: a repeated transaction must be ours to judge.
+func hostClient(addr string, conns int) *fasthttp.HostClient {
+	return &fasthttp.HostClient{
+		Addr: addr, MaxConns: conns, MaxIdemponentCallAttempts: 1,
+		RetryIfErr:          func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		MaxIdleConnDuration: 30 * time.Second, MaxConnWaitTimeout: 2 * time.Second,
+		NoDefaultUserAgentHeader: true,
+		Dial:                     func(a string) (net.Conn, error) { return fasthttp.DialTimeout(a, 1200*time.Millisecond) },
+	}
+}
+
+// SetBudget changes this node's part, as a leader needs more than the others.
+func (c *Client) SetBudget(b Budget) { c.budget <- b }
+
+// pace is the actor that lets requests go within the budget.
+func (c *Client) pace(b Budget) {
+	var q tickets
+	seq := 0
+	last := time.Now()
+	req, puts := b.RPS/2, b.Puts/2
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		select {
+		case t := <-c.tickets:
+			t.seq = seq
+			seq++
+			heap.Push(&q, t)
+		case b = <-c.budget:
+		case <-timer.C:
+		}
+		now := time.Now()
+		dt := now.Sub(last).Seconds()
+		last = now
+		req = min(b.RPS, req+dt*b.RPS)
+		puts = min(max(b.Puts, 1), puts+dt*b.Puts)
+		for q.Len() > 0 {
+			t := q[0]
+			if t.ctx.Err() != nil {
+				heap.Pop(&q)
+				continue
+			}
+			// A transaction larger than the bucket goes when the bucket is full.
+			need := min(float64(t.puts), max(b.Puts, 1))
+			if req < 1 || puts < need {
+				wait := max((1-req)/b.RPS, (need-puts)/b.Puts)
+				timer.Reset(time.Duration(wait*float64(time.Second)) + time.Millisecond)
+				break
+			}
+			req--
+			puts -= float64(t.puts)
+			heap.Pop(&q)
+			close(t.ready)
+		}
+	}
+}
+
+func (c *Client) admit(ctx context.Context, prio, puts int) error {
+	t := &ticket{prio: prio, puts: puts, ready: make(chan struct{}), ctx: ctx}
+	select {
+	case c.tickets <- t:
+	case <-ctx.Done():
+		return fmt.Errorf("%w: budget", ErrRefused)
+	}
+	select {
+	case <-t.ready:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("%w: budget", ErrRefused)
+	}
+}
+
+func (c *Client) do(h *fasthttp.HostClient, method, uri string, body, out any, timeout time.Duration) (int, error) {
+	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(res)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + h.Addr + uri)
+	if body != nil {
+		raw, err := json.Marshal(body)
+		if err != nil {
+			return 0, fmt.Errorf("encode: %w", err)
+		}
+		req.Header.SetContentType("application/json")
+		req.SetBodyRaw(raw)
+	}
+	if err := h.DoTimeout(req, res, timeout); err != nil {
+		c.health(false)
+		return 0, fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	code := res.StatusCode()
+	c.health(code != 503)
+	if out != nil && len(res.Body()) > 0 && code != 503 && code != 429 {
+		if err := json.Unmarshal(res.Body(), out); err != nil {
+			return code, fmt.Errorf("%w: decode: %w", ErrUnknown, err)
+		}
+	}
+	return code, nil
+}
+
+const timeout = 1500 * time.Millisecond
+
+// Get reads one key; ErrMissing if it does not exist.
+func (c *Client) Get(ctx context.Context, prio int, key string) (wire.Item, error) {
+	var it wire.Item
+	if err := c.admit(ctx, prio, 0); err != nil {
+		return it, err
+	}
+	code, err := c.do(c.http, "GET", "/store/"+key, nil, &it, timeout)
+	switch {
+	case err != nil:
+		return it, fmt.Errorf("get %s: %w", key, err)
+	case code == 200:
+		return it, nil
+	case code == 404:
+		return it, fmt.Errorf("get %s: %w", key, ErrMissing)
+	}
+	return it, fmt.Errorf("get %s: %w: %d", key, ErrRefused, code)
+}
+
+// List reads all keys with a prefix and the oldest revision that the pages are true for.
+func (c *Client) List(ctx context.Context, prio int, prefix string) ([]wire.Item, uint64, error) {
+	var all []wire.Item
+	var rev uint64
+	since := ""
+	for page := 0; ; page++ {
+		if err := c.admit(ctx, prio, 0); err != nil {
+			return nil, 0, err
+		}
+		uri := "/store?prefix=" + url.QueryEscape(prefix) + "&most=1000"
+		if since != "" {
+			uri += "&since=" + url.QueryEscape(since)
+		}
+		var l wire.ItemList
+		code, err := c.do(c.http, "GET", uri, nil, &l, 2*timeout)
+		if err != nil {
+			return nil, 0, fmt.Errorf("list %s: %w", prefix, err)
+		}
+		if code != 200 {
+			return nil, 0, fmt.Errorf("list %s: %w: %d", prefix, ErrRefused, code)
+		}
+		if page == 0 {
+			rev = l.Revision
+		}
+		all = append(all, l.Items...)
+		if !l.More || len(l.Items) == 0 {
+			return all, rev, nil
+		}
+		since = l.Items[len(l.Items)-1].Key
+	}
+}
+
+// Outcome of a transaction. Unsure is set when an earlier try of the same
+// transaction got no answer, so that a failed guard may be our own doing.
+type Outcome struct {
+	OK       bool
+	Revision uint64
+	Failed   []string
+	NoLease  bool
+	Unsure   bool
+}
+
+// FailedOn says whether the guard on key failed.
+func (o Outcome) FailedOn(key string) bool {
+	for _, k := range o.Failed {
+		if k == key {
+			return true
+		}
+	}
+	return false
+}
+
+// Once tries a transaction one time.
+func (c *Client) Once(ctx context.Context, prio int, t wire.Txn) (Outcome, error) {
+	if err := c.admit(ctx, prio, len(t.Then)); err != nil {
+		return Outcome{}, err
+	}
+	if t.If == nil {
+		t.If = []wire.Guard{}
+	}
+	var a wire.TxnAnswer
+	code, err := c.do(c.http, "POST", "/multi", t, &a, timeout)
+	switch {
+	case err != nil:
+		return Outcome{}, fmt.Errorf("transaction: %w", err)
+	case code == 200:
+		return Outcome{OK: true, Revision: a.Revision}, nil
+	case code == 409:
+		return Outcome{Revision: a.Revision, Failed: a.Failed}, nil
+	case code == 400:
+		return Outcome{NoLease: a.Error == "no such lease"}, fmt.Errorf("transaction: malformed: %s", a.Error)
+	}
+	return Outcome{}, fmt.Errorf("transaction: %w: %d", ErrRefused, code)
+}
+
+// Commit repeats a transaction until the store has decided on it or ctx ends.
+func (c *Client) Commit(ctx context.Context, prio int, t wire.Txn) (Outcome, error) {
+	unsure := false
+	for n := 0; ; n++ {
+		o, err := c.Once(ctx, prio, t)
+		if err == nil {
+			o.Unsure = unsure
+			return o, nil
+		}
+		if errors.Is(err, ErrUnknown) {
+			unsure = true
+		} else if !errors.Is(err, ErrRefused) {
+			return o, err
+		}
+		if !Pause(ctx, n) {
+			return Outcome{Unsure: unsure}, err
+		}
+	}
+}
+
+// Pause waits before try n+1, with jitter; false when ctx ended.
+func Pause(ctx context.Context, n int) bool {
+	base := 50 * time.Millisecond << min(n, 4)
+	t := time.NewTimer(base/2 + rand.N(base))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// Grant makes a store lease.
+func (c *Client) Grant(ctx context.Context, ttl clock.Micros) (uint64, error) {
+	if err := c.admit(ctx, Urgent, 0); err != nil {
+		return 0, err
+	}
+	var a wire.LeaseAnswer
+	code, err := c.do(c.http, "POST", "/grants", wire.LeaseForm{TTLMs: int64(ttl / clock.Millisecond)}, &a, timeout)
+	if err == nil && code != 200 {
+		err = fmt.Errorf("%w: %d", ErrRefused, code)
+	}
+	if err != nil {
+		return 0, fmt.Errorf("lease: %w", err)
+	}
+	return a.Lease, nil
+}
+
+// Touch renews a store lease; ErrMissing when it has ended.
+func (c *Client) Touch(ctx context.Context, lease uint64) error {
+	if err := c.admit(ctx, Urgent, 0); err != nil {
+		return err
+	}
+	code, err := c.do(c.http, "POST", "/grants/"+strconv.FormatUint(lease, 10)+"/touch", struct{}{}, nil, timeout)
+	switch {
+	case err != nil:
+		return fmt.Errorf("renew lease: %w", err)
+	case code == 200:
+		return nil
+	case code == 404:
+		return fmt.Errorf("renew lease: %w", ErrMissing)
+	}
+	return fmt.Errorf("renew lease: %w: %d", ErrRefused, code)
+}
+
+// Drop ends a store lease at once; if that fails it ends by itself.
+func (c *Client) Drop(ctx context.Context, lease uint64) {
+	if lease == 0 || c.admit(ctx, Urgent, 0) != nil {
+		return
+	}
+	// The answer changes nothing: the lease runs out either way.
+	_, _ = c.do(c.http, "DELETE", "/grants/"+strconv.FormatUint(lease, 10), nil, nil, timeout)
+}
+
+// Watch waits for changes under prefix after revision since.
+func (c *Client) Watch(ctx context.Context, prefix string, since uint64, block clock.Micros) (wire.WatchAnswer, error) {
+	var a wire.WatchAnswer
+	if err := c.admit(ctx, Normal, 0); err != nil {
+		return a, err
+	}
+	uri := fmt.Sprintf("/watch?prefix=%s&since=%d&blockMs=%d", url.QueryEscape(prefix), since, int64(block/clock.Millisecond))
+	code, err := c.do(c.watch, "GET", uri, nil, &a, block.Duration()+3*time.Second)
+	switch {
+	case err != nil:
+		return a, fmt.Errorf("watch %s: %w", prefix, err)
+	case code == 200:
+		return a, nil
+	case code == 410:
+		return a, fmt.Errorf("watch %s: %w", prefix, ErrGone)
+	}
+	return a, fmt.Errorf("watch %s: %w: %d", prefix, ErrRefused, code)
+}
--- /dev/null
+++ b/wire/wire.go
@@ -0,0 +1,305 @@
+// Package wire holds the JSON forms of the four protocols that swiftledge
+// speaks: with users, workers, the cloud and the state service. The names here
+// are the field's own; the protocol's words stand only in the tags.
+package wire
+
+import "encoding/json"
+
+// Priorities, highest first.
+const (
+	Production = "production"
+	High       = "high"
+	Standard   = "standard"
+	BestEffort = "best_effort"
+)
+
+// Rank orders priorities: 0 is the most important, -1 is unknown.
+func Rank(priority string) int {
+	switch priority {
+	case Production:
+		return 0
+	case High:
+		return 1
+	case Standard:
+		return 2
+	case BestEffort:
+		return 3
+	}
+	return -1
+}
+
+// Job states as users see them.
+const (
+	Queued    = "queued"
+	Running   = "running"
+	Done      = "done"
+	Cancelled = "cancelled"
+)
+
+// Task states in a worker's report, and the causes of an exit.
+const (
+	Fetching = "fetching"
+	Saving   = "saving"
+	Exited   = "exited"
+
+	CauseDone    = "done"
+	CauseStopped = "stopped"
+	CauseError   = "error"
+	CauseFull    = "full"
+	CauseBusy    = "busy"
+	CauseUnknown = "unknown"
+)
+
+// Command verbs.
+const (
+	Run    = "run"
+	Kill   = "kill"
+	Forget = "forget"
+)
+
+// Machine states in the cloud's list.
+const (
+	Starting = "starting"
+	Failed   = "failed"
+)
+
+// Job is what a user submits.
+type Job struct {
+	Ref         string   `json:"ref"`
+	Class       string   `json:"lane"`
+	Team        string   `json:"owner"`
+	Shape       string   `json:"shape"`
+	Priority    string   `json:"rank"`
+	Tasks       int      `json:"lots"`
+	CPUs        float64  `json:"cpus"`
+	GPUs        float64  `json:"accelerators"`
+	MemoryGB    float64  `json:"ramGb"`
+	Image       string   `json:"kit"`
+	ImageGB     float64  `json:"imageGb"`
+	Types       []string `json:"breeds"`
+	Zone        string   `json:"paddock,omitempty"`
+	OneZone     bool     `json:"together"`
+	Spread      bool     `json:"scatter"`
+	Spot        bool     `json:"stray"`
+	EstimateS   float64  `json:"reckonS"`
+	CheckpointS float64  `json:"waypointS"`
+	SaveS       float64  `json:"stashS"`
+	DeadlineS   *float64 `json:"dueS"`
+}
+
+// JobForm is a submission as received: pointers tell a missing field from zero.
+type JobForm struct {
+	Ref         *string   `json:"ref" validate:"required,jobref"`
+	Class       *string   `json:"lane" validate:"required"`
+	Team        *string   `json:"owner" validate:"required"`
+	Shape       *string   `json:"shape" validate:"required,eq=batch"`
+	Priority    *string   `json:"rank" validate:"required,oneof=production high standard best_effort"`
+	Tasks       *int      `json:"lots" validate:"required,min=1,max=100000"`
+	CPUs        *float64  `json:"cpus" validate:"required,min=0"`
+	GPUs        *float64  `json:"accelerators" validate:"required,min=0"`
+	MemoryGB    *float64  `json:"ramGb" validate:"required,min=0"`
+	Image       *string   `json:"kit" validate:"required"`
+	ImageGB     *float64  `json:"imageGb" validate:"required,min=0"`
+	Types       *[]string `json:"breeds"`
+	Zone        *string   `json:"paddock"`
+	OneZone     *bool     `json:"together" validate:"required"`
+	Spread      *bool     `json:"scatter" validate:"required"`
+	Spot        *bool     `json:"stray" validate:"required"`
+	EstimateS   *float64  `json:"reckonS" validate:"required,min=0"`
+	CheckpointS *float64  `json:"waypointS" validate:"required,min=0"`
+	SaveS       *float64  `json:"stashS" validate:"required,min=0"`
+	DeadlineS   *float64  `json:"dueS" validate:"omitempty,min=0"`
+}
+
+// Job makes the job of a form that has passed validation.
+func (f *JobForm) Job() Job {
+	j := Job{Ref: *f.Ref, Class: *f.Class, Team: *f.Team, Shape: *f.Shape, Priority: *f.Priority, Tasks: *f.Tasks,
+		CPUs: *f.CPUs, GPUs: *f.GPUs, MemoryGB: *f.MemoryGB, Image: *f.Image, ImageGB: *f.ImageGB,
+		OneZone: *f.OneZone, Spread: *f.Spread, Spot: *f.Spot, EstimateS: *f.EstimateS,
+		CheckpointS: *f.CheckpointS, SaveS: *f.SaveS, DeadlineS: f.DeadlineS}
+	if f.Types != nil {
+		j.Types = *f.Types
+	}
+	if f.Zone != nil {
+		j.Zone = *f.Zone
+	}
+	return j
+}
+
+// JobStatus answers submissions, polls and aborts.
+type JobStatus struct {
+	Ref     string `json:"ref"`
+	State   string `json:"status"`
+	Done    int    `json:"done"`
+	Running int    `json:"running"`
+}
+
+// Problem is the body of a refusal.
+type Problem struct {
+	Error string `json:"error"`
+}
+
+// TaskReport is one task in a worker's report.
+type TaskReport struct {
+	Task    string `json:"lot"`
+	Attempt uint64 `json:"try"`
+	State   string `json:"status"`
+	Cause   string `json:"cause,omitempty"`
+	Stored  bool   `json:"stored,omitempty"`
+}
+
+// Report is what a worker says of itself.
+type Report struct {
+	Machine string       `json:"rig"`
+	Address string       `json:"address"`
+	Type    string       `json:"breed"`
+	Zone    string       `json:"paddock"`
+	Spot    bool         `json:"stray"`
+	Session uint64       `json:"stint"`
+	Seq     uint64       `json:"tally"`
+	Token   uint64       `json:"baton"`
+	NoticeS *float64     `json:"warningS"`
+	Tasks   []TaskReport `json:"lots"`
+}
+
+// Command is one order to a worker.
+type Command struct {
+	Op      string   `json:"verb"`
+	Task    string   `json:"lot"`
+	Attempt uint64   `json:"try"`
+	GraceS  *float64 `json:"leewayS,omitempty"`
+}
+
+// ReportAnswer answers a report with 200.
+type ReportAnswer struct {
+	Token    uint64    `json:"baton"`
+	Commands []Command `json:"orders"`
+}
+
+// Redirect answers a report with 421.
+type Redirect struct {
+	ReportTo string `json:"foreman,omitempty"`
+}
+
+// Orders is a direct command to a worker.
+type Orders struct {
+	Token    uint64    `json:"baton"`
+	Session  uint64    `json:"stint"`
+	Commands []Command `json:"orders"`
+}
+
+// MachineType is one row of the cloud's catalog.
+type MachineType struct {
+	Name      string   `json:"sku"`
+	CPUs      float64  `json:"cpus"`
+	GPUs      float64  `json:"accelerators"`
+	MemoryGB  float64  `json:"ramGb"`
+	CacheGB   float64  `json:"localGb"`
+	FetchGBPS float64  `json:"pullGbPerS"`
+	Price     float64  `json:"price"`
+	SpotPrice float64  `json:"lowPrice"`
+	BootS     float64  `json:"readyS"`
+	ZoneNames []string `json:"paddocks"`
+}
+
+// Catalog lists the machine types.
+type Catalog struct {
+	Types []MachineType `json:"breeds"`
+}
+
+// Rental asks the cloud for machines; Request makes it idempotent.
+type Rental struct {
+	Request string `json:"hire"`
+	Type    string `json:"breed"`
+	Zone    string `json:"paddock"`
+	Spot    bool   `json:"stray"`
+	Count   int    `json:"count"`
+}
+
+// Machines names machines: a rental's answer and a deletion's body.
+type Machines struct {
+	Machines []string `json:"rigs"`
+}
+
+// Machine is one row of the cloud's list.
+type Machine struct {
+	Name    string  `json:"ref"`
+	Address string  `json:"address"`
+	Type    string  `json:"breed"`
+	Zone    string  `json:"paddock"`
+	Spot    bool    `json:"stray"`
+	State   string  `json:"status"`
+	AgeS    float64 `json:"heldS"`
+}
+
+// MachineList is one page of the cloud's list.
+type MachineList struct {
+	Machines []Machine `json:"rigs"`
+	More     bool      `json:"more"`
+}
+
+// Item is one key of the state service.
+type Item struct {
+	Key     string          `json:"path"`
+	Value   json.RawMessage `json:"v"`
+	Version uint64          `json:"stamp"`
+	Lease   uint64          `json:"tenure,omitempty"`
+}
+
+// ItemList is one page of keys.
+type ItemList struct {
+	Items    []Item `json:"rows"`
+	More     bool   `json:"more"`
+	Revision uint64 `json:"ledger"`
+}
+
+// Guard is a transaction's condition: version 0 says that the key is absent.
+type Guard struct {
+	Key     string `json:"path"`
+	Version uint64 `json:"stamp"`
+}
+
+// Write is one put or delete.
+type Write struct {
+	Put    string          `json:"put,omitempty"`
+	Value  json.RawMessage `json:"v,omitempty"`
+	Lease  uint64          `json:"tenure,omitempty"`
+	Delete string          `json:"delete,omitempty"`
+}
+
+// Txn is a transaction.
+type Txn struct {
+	If   []Guard `json:"guards"`
+	Then []Write `json:"writes"`
+}
+
+// TxnAnswer answers 200 and 409.
+type TxnAnswer struct {
+	Revision uint64   `json:"ledger"`
+	Failed   []string `json:"failed,omitempty"`
+	Error    string   `json:"error,omitempty"`
+}
+
+// LeaseForm asks for a store lease.
+type LeaseForm struct {
+	TTLMs int64 `json:"ttlMs"`
+}
+
+// LeaseAnswer names the lease.
+type LeaseAnswer struct {
+	Lease uint64 `json:"tenure"`
+}
+
+// Event is one change seen by a watch.
+type Event struct {
+	Put     string          `json:"put,omitempty"`
+	Value   json.RawMessage `json:"v,omitempty"`
+	Version uint64          `json:"stamp"`
+	Delete  string          `json:"delete,omitempty"`
+}
+
+// WatchAnswer holds the changes since the given revision.
+type WatchAnswer struct {
+	Revision uint64  `json:"ledger"`
+	Events   []Event `json:"news"`
+}
