--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -90,6 +90,7 @@
 	claiming bool
 	epoch    uint64 // ours; 0: we do not lead
 	until    clock.Micros
+	told     Follow // what was last said of who leads
 	renewAt  clock.Micros
 	retryAt  clock.Micros
 	fx       []any
@@ -150,7 +151,6 @@
 	if m.Revision < e.seen.Revision {
 		return // what the watch saw before a later read
 	}
-	changed := !e.known || m.Version != e.seen.Version
 	e.known, e.seen = true, m
 	if e.epoch > 0 && m.Version > e.epoch {
 		e.depose()
@@ -160,8 +160,16 @@
 		e.win(now, m.Version)
 		return
 	}
-	if changed && e.epoch == 0 {
-		e.emit(Follow{m.Version, m.Record.Node})
+	if e.epoch == 0 {
+		e.follow(m.Version, m.Record.Node)
+	}
+}
+
+// follow says who leads, once: a second link to the same leader would cut the first.
+func (e *Elector) follow(epoch uint64, node string) {
+	if f := (Follow{epoch, node}); f != e.told {
+		e.told = f
+		e.emit(f)
 	}
 }
 
@@ -176,7 +184,7 @@
 	e.epoch, e.until = epoch, until
 	e.renewAt = now
 	e.emit(Lead{epoch, until})
-	e.emit(Follow{epoch, e.me.Node})
+	e.follow(epoch, e.me.Node)
 }
 
 func (e *Elector) onClaimed(now clock.Micros, m Claimed) {
