--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -273,6 +273,15 @@
 				continue
 			}
 			stamps[it.Key], holders[it.Key] = it.Version, r
+		}
+	}
+	// Machines belong to blocks, so these come first.
+	for i := range n {
+		k := block.Key(i)
+		l.blocks = append(l.blocks, &lblock{id: i, stamp: stamps[k], holder: holders[k].Holder, tasks: map[peer.Task]*held{}})
+	}
+	for _, it := range m.Items {
+		switch {
 		case strings.HasPrefix(it.Key, JobPrefix):
 			var r JobRecord
 			if err := json.Unmarshal(it.Value, &r); err != nil {
@@ -314,10 +323,6 @@
 		l.commit(store.Lazy, nil, nil, stale[:k])
 		stale = stale[k:]
 	}
-	for i := range n {
-		k := block.Key(i)
-		l.blocks = append(l.blocks, &lblock{id: i, stamp: stamps[k], holder: holders[k].Holder, tasks: map[peer.Task]*held{}})
-	}
 	if !haveLayout {
 		l.commit(store.Urgent, nil, []wire.Guard{{Key: LayoutKey}}, []wire.Write{put(LayoutKey, LayoutRecord{n})})
 	}
