--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -187,9 +187,15 @@
 	for _, name := range g.Machines {
 		b.machine(name).known = true
 	}
+	type ended struct {
+		m *machine
+		r *rec
+	}
+	var over []ended
 	for _, key := range slices.Sorted(maps.Keys(g.Pages)) {
 		pg := g.Pages[key]
-		b.pages[key] = &page{}
+		live := &page{}
+		b.pages[key] = live
 		for i := range pg.Groups {
 			grp := &pg.Groups[i]
 			for _, r := range grp.Records {
@@ -200,17 +206,20 @@
 				}
 				rc := &rec{recKey: k, group: grp, page: key, state: ordered, inherited: true}
 				m.add(rc)
-				b.pages[key].live++
+				live.live++
 				if !m.known {
 					// Machines leave the roster only after their proven end.
-					h.lose(b, m, rc, peer.Back)
+					over = append(over, ended{m, rc})
 				}
 			}
 		}
-		if b.pages[key].live == 0 {
+		if live.live == 0 {
 			b.dropPage(key)
 		}
 	}
+	for _, e := range over {
+		h.lose(b, e.m, e.r, peer.Back)
+	}
 	h.blocks[g.Block] = b
 	b.tell = true
 }
