--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -70,9 +70,12 @@
 	erase        []string
 	erasedAt     clock.Micros
 	machines     map[string]*machine
-	seq          uint64
-	tell         bool
-	events       []peer.Event
+	// attempts counts, by task, those whose end the leader has not been told. A
+	// stale record may stand beside a live one: only the last end gives the task back.
+	attempts map[peer.Task]int
+	seq      uint64
+	tell     bool
+	events   []peer.Event
 }
 
 // Holder is the actor's state.
@@ -175,12 +178,14 @@
 	if old := h.blocks[g.Block]; old != nil && old.token >= g.Token {
 		return
 	}
-	b := &blk{id: g.Block, token: g.Token, stamp: g.Stamp, since: now, pages: map[string]*page{}, machines: map[string]*machine{}}
+	b := &blk{id: g.Block, token: g.Token, stamp: g.Stamp, since: now, pages: map[string]*page{}, machines: map[string]*machine{},
+		attempts: map[peer.Task]int{}}
 	if old := h.blocks[g.Block]; old != nil {
 		// What is known of the machines stays useful; what may run on them is read anew from the records.
 		for name, m := range old.machines {
 			b.machines[name] = &machine{name: name, address: m.address, typ: m.typ, zone: m.zone, spot: m.spot,
-				session: m.session, seq: m.seq, heard: m.heard, answered: m.answered, notice: m.notice, gone: m.gone}
+				session: m.session, seq: m.seq, heard: m.heard, answered: m.answered, notice: m.notice, gone: m.gone,
+				recs: map[recKey]*rec{}}
 		}
 		b.expires = old.expires
 	}
@@ -205,7 +210,7 @@
 					continue
 				}
 				rc := &rec{recKey: k, group: grp, page: key, state: ordered, inherited: true}
-				m.add(rc)
+				b.add(m, rc)
 				live.live++
 				if !m.known {
 					// Machines leave the roster only after their proven end.
@@ -227,21 +232,32 @@
 func (b *blk) machine(name string) *machine {
 	m := b.machines[name]
 	if m == nil {
-		m = &machine{name: name, dirty: true}
+		m = &machine{name: name, dirty: true, recs: map[recKey]*rec{}}
 		b.machines[name] = m
 	}
-	if m.recs == nil {
-		m.recs = map[recKey]*rec{}
-	}
 	return m
 }
 
-func (m *machine) add(r *rec) {
-	if m.recs == nil {
-		m.recs = map[recKey]*rec{}
-	}
+func (b *blk) add(m *machine, r *rec) {
 	m.recs[r.recKey] = r
 	m.dirty = true
+	b.attempts[r.task]++
+}
+
+// tellEnd says how an attempt ended, once; a task comes back only with its last attempt.
+func (b *blk) tellEnd(r *rec, e peer.Event) {
+	if r.told {
+		return
+	}
+	r.told = true
+	b.attempts[r.task]--
+	last := b.attempts[r.task] == 0
+	if last {
+		delete(b.attempts, r.task)
+	}
+	if last || e.Kind == peer.Done {
+		b.events = append(b.events, e)
+	}
 }
 
 // remove takes an attempt off the books once it is proven gone.
@@ -262,9 +278,7 @@
 
 // lose ends an attempt that is proven to be on the machine no more.
 func (h *Holder) lose(b *blk, m *machine, r *rec, kind string) {
-	if !r.told {
-		b.events = append(b.events, peer.Event{Task: r.task, Kind: kind, Machine: m.name})
-	}
+	b.tellEnd(r, peer.Event{Task: r.task, Kind: kind, Machine: m.name})
 	b.remove(m, r)
 }
 
@@ -415,7 +429,7 @@
 		pg.Groups[i].Records = append(pg.Groups[i].Records, peer.Record{Index: t.Index, Attempt: r.attempt, Machine: m.name})
 		size += recordBytes
 		recs = append(recs, r)
-		m.add(r)
+		b.add(m, r)
 		b.events = append(b.events, peer.Event{Task: t, Kind: peer.Started, Machine: m.name})
 	}
 	write()
@@ -679,7 +693,6 @@
 		rc.state, rc.cause, m.dirty = exited, t.Cause, true
 	}
 	if !rc.told {
-		rc.told = true
 		ev := peer.Event{Task: rc.task, Machine: m.name}
 		switch t.Cause {
 		case wire.CauseDone:
@@ -694,7 +707,7 @@
 			ev.Kind = peer.Back
 			rc.stored = true
 		}
-		b.events = append(b.events, ev)
+		b.tellEnd(rc, ev)
 	}
 	// Forgetting lets a repeated run start it again, so no copy may be on its way.
 	if rc.stored && rc.inflight == 0 {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -65,6 +65,7 @@
 	opt      fleet.Option
 	born     clock.Micros
 	up       bool
+	booting  bool // by the list
 	state    peer.MachineState
 	listed   clock.Micros // last seen in the list; 0: never
 	missing  int
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -108,6 +108,7 @@
 			m.born = min(m.born, now-clock.FromSeconds(w.AgeS))
 		}
 		m.listed, m.missing = now, 0
+		m.booting = w.State == wire.Starting
 		if w.State == wire.Failed {
 			m.missing = 1000
 		}
@@ -322,7 +323,7 @@
 		// Many silent machines at once point at the holder, not at them.
 		case m.state.Silent && (silent[b]*2 < up[b] || silent[b] == 1):
 			why = "silent"
-		case !m.up && b.state == granted && now-m.born > late:
+		case !m.up && (m.booting || m.listed == 0) && b.state == granted && now-m.born > late && now-l.began > late/2:
 			why = "never came up"
 		case m.drain && m.up && m.state.Tasks == 0 && !b.offered:
 			why = "drained"
