Tell the machine types with every grant

Cause: controllers that linked up before an epoch was loaded never learned the types, saw no room and started nothing.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -628,11 +628,12 @@
 	for _, name := range names {
 		l.machines[name].state.Fit = false
 	}
-	l.emit(Tell{b.link, peer.Down{Epoch: l.epoch, Holders: l.holders(),
+	// A controller that linked up before the epoch was loaded knows no types yet.
+	l.emit(Tell{b.link, peer.Down{Epoch: l.epoch, Holders: l.holders(), Types: l.typeList,
 		Grants: []peer.Grant{{Block: b.id, Token: b.token, Stamp: b.stamp, Pages: m.Pages, Machines: names}}}})
 	for _, n := range l.nodes {
 		if n.link != b.link {
-			l.emit(Tell{n.link, peer.Down{Epoch: l.epoch, Holders: l.holders()}})
+			l.emit(Tell{n.link, peer.Down{Epoch: l.epoch, Holders: l.holders(), Types: l.typeList}})
 		}
 	}
 	l.emit(Log{Debug: true, Text: "block granted", Args: []any{"block", b.id, "holder", b.holder, "token", b.token, "tasks", len(b.tasks)}})
