--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -3,6 +3,7 @@
 package api
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -16,7 +17,6 @@
 
 	"swiftledge/internal/block"
 	"swiftledge/internal/config"
-	"swiftledge/internal/store"
 	"swiftledge/wire"
 )
 
@@ -25,7 +25,8 @@
 // Service is the HTTP side of a node.
 type Service struct {
 	cfg     *config.Config
-	store   *store.Client
+	store   Store
+	pause   func(ctx context.Context, n int) bool // before try n+1
 	desk    *Desk
 	storeOK func() bool
 	report  func(*wire.Report) block.Answer
@@ -34,8 +35,8 @@
 }
 
 // New makes the service; report answers a worker.
-func New(cfg *config.Config, s *store.Client, d *Desk, storeOK func() bool, report func(*wire.Report) block.Answer, log *slog.Logger) *Service {
-	return &Service{cfg: cfg, store: s, desk: d, storeOK: storeOK, report: report, log: log, form: newFormChecker()}
+func New(cfg *config.Config, s Store, pause func(context.Context, int) bool, d *Desk, storeOK func() bool, report func(*wire.Report) block.Answer, log *slog.Logger) *Service {
+	return &Service{cfg: cfg, store: s, pause: pause, desk: d, storeOK: storeOK, report: report, log: log, form: newFormChecker()}
 }
 
 // Serve answers on l until it fails.
@@ -74,26 +75,26 @@
 // retryAfterS is when a user that could not be served should come back.
 const retryAfterS = 1
 
-func (s *Service) reply(c fiber.Ctx, r result) error {
+func (s *Service) reply(c fiber.Ctx, r Result) error {
 	switch {
-	case r.code == 503:
+	case r.Code == 503:
 		c.Set("Retry-After", strconv.Itoa(retryAfterS))
-		return c.Status(503).JSON(wire.Problem{Error: r.why})
-	case r.code >= 400:
-		return c.Status(r.code).JSON(wire.Problem{Error: r.why})
+		return c.Status(503).JSON(wire.Problem{Error: r.Why})
+	case r.Code >= 400:
+		return c.Status(r.Code).JSON(wire.Problem{Error: r.Why})
 	}
-	return c.Status(r.code).JSON(r.status)
+	return c.Status(r.Code).JSON(r.Status)
 }
 
-func (s *Service) submit(c fiber.Ctx) error { return s.reply(c, s.accept(c.Body())) }
+func (s *Service) submit(c fiber.Ctx) error { return s.reply(c, s.Submit(c.Body())) }
 
 // ref is copied: fiber's strings live only as long as the request, and the
 // desk keeps references to jobs for longer.
 func ref(c fiber.Ctx) string { return strings.Clone(c.Params("ref")) }
 
-func (s *Service) status(c fiber.Ctx) error { return s.reply(c, s.look(ref(c))) }
+func (s *Service) status(c fiber.Ctx) error { return s.reply(c, s.Look(ref(c))) }
 
-func (s *Service) abort(c fiber.Ctx) error { return s.reply(c, s.cancel(ref(c))) }
+func (s *Service) abort(c fiber.Ctx) error { return s.reply(c, s.Cancel(ref(c))) }
 
 func (s *Service) ready(c fiber.Ctx) error {
 	v := s.desk.Look("")
--- a/internal/api/jobs.go
+++ b/internal/api/jobs.go
@@ -18,13 +18,20 @@
 	"swiftledge/wire"
 )
 
-type result struct {
-	code   int
-	status wire.JobStatus
-	why    string
+// Result is the answer to a user: Status for 200 and 201, else Why.
+type Result struct {
+	Code   int
+	Status wire.JobStatus
+	Why    string
 }
 
-func refuse(code int, why string) result { return result{code: code, why: why} }
+func refuse(code int, why string) Result { return Result{Code: code, Why: why} }
+
+// Store is what the users' requests need of the state service.
+type Store interface {
+	Get(ctx context.Context, prio int, key string) (wire.Item, error)
+	Once(ctx context.Context, prio int, t wire.Txn) (store.Outcome, error)
+}
 
 // answerWithin keeps an answer inside the time that users wait for one.
 const (
@@ -54,7 +61,8 @@
 	return ""
 }
 
-func (s *Service) accept(body []byte) result {
+// Submit takes a submission.
+func (s *Service) Submit(body []byte) Result {
 	var form wire.JobForm
 	if err := json.Unmarshal(body, &form); err != nil {
 		// A known job stays known whatever else its retry holds.
@@ -76,7 +84,7 @@
 	job := form.Job()
 	v := s.desk.Look(job.Ref)
 	if v.End != nil {
-		return result{code: 200, status: endStatus(job.Ref, *v.End)}
+		return Result{Code: 200, Status: endStatus(job.Ref, *v.End)}
 	}
 	types := v.Types
 	if len(types) == 0 {
@@ -104,10 +112,10 @@
 		o, err := s.store.Once(ctx, store.Urgent, t)
 		switch {
 		case err == nil && o.OK:
-			return result{code: 201, status: wire.JobStatus{Ref: job.Ref, State: wire.Queued}}
+			return Result{Code: 201, Status: wire.JobStatus{Ref: job.Ref, State: wire.Queued}}
 		case err == nil:
-			r := s.look(job.Ref)
-			if r.code == 404 {
+			r := s.Look(job.Ref)
+			if r.Code == 404 {
 				return refuse(503, "the job's state changed meanwhile")
 			}
 			return r
@@ -118,18 +126,18 @@
 			// Certainly refused: the user is told at once when to come back.
 			return refuse(503, "the state service is away")
 		}
-		if !store.Pause(ctx, n) {
+		if !s.pause(ctx, n) {
 			return refuse(503, "the state service does not answer")
 		}
 	}
 }
 
 // known answers for a job that is there already, else r.
-func (s *Service) known(ref string, r result) result {
+func (s *Service) known(ref string, r Result) Result {
 	if !s.form.ref.MatchString(ref) {
 		return r
 	}
-	switch l := s.look(ref); l.code {
+	switch l := s.Look(ref); l.Code {
 	case 200, 503:
 		return l
 	}
@@ -174,14 +182,14 @@
 	return st
 }
 
-// look reads a job's state: 200, 404 once the store has said so, or 503.
-func (s *Service) look(ref string) result {
+// Look reads a job's state: 200, 404 once the store has said so, or 503.
+func (s *Service) Look(ref string) Result {
 	if !s.form.ref.MatchString(ref) {
 		return refuse(404, "no such job")
 	}
 	v := s.desk.Look(ref)
 	if v.End != nil {
-		return result{code: 200, status: endStatus(ref, *v.End)}
+		return Result{Code: 200, Status: endStatus(ref, *v.End)}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), pollWithin)
 	defer cancel()
@@ -190,13 +198,13 @@
 		if err == nil {
 			return r
 		}
-		if !store.Pause(ctx, n) {
+		if !s.pause(ctx, n) {
 			return refuse(503, "the state service is away")
 		}
 	}
 }
 
-func (s *Service) read(ctx context.Context, ref string, v View) (result, error) {
+func (s *Service) read(ctx context.Context, ref string, v View) (Result, error) {
 	// A job moves from job/ to over/ in one transaction, so this order never misses it.
 	_, err := s.store.Get(ctx, store.Normal, leader.JobPrefix+ref)
 	if err == nil {
@@ -204,28 +212,28 @@
 		if st.Running > 0 {
 			st.State = wire.Running
 		}
-		return result{code: 200, status: st}, nil
+		return Result{Code: 200, Status: st}, nil
 	}
 	if !errors.Is(err, store.ErrMissing) {
-		return result{}, err
+		return Result{}, err
 	}
 	it, err := s.store.Get(ctx, store.Normal, leader.EndPrefix+ref)
 	if errors.Is(err, store.ErrMissing) {
 		return refuse(404, "no such job"), nil
 	}
 	if err != nil {
-		return result{}, err
+		return Result{}, err
 	}
 	var e leader.EndRecord
 	if err := json.Unmarshal(it.Value, &e); err != nil {
-		return result{}, err
+		return Result{}, err
 	}
 	s.desk.Post(ended{ref, e})
-	return result{code: 200, status: endStatus(ref, e)}, nil
+	return Result{Code: 200, Status: endStatus(ref, e)}, nil
 }
 
-// cancel ends a job unless it is over; the store decides between done and cancelled.
-func (s *Service) cancel(ref string) result {
+// Cancel ends a job unless it is over; the store decides between done and cancelled.
+func (s *Service) Cancel(ref string) Result {
 	if !s.form.ref.MatchString(ref) {
 		return refuse(404, "no such job")
 	}
@@ -233,34 +241,34 @@
 	defer cancel()
 	for n := 0; ; n++ {
 		r, err := s.tryCancel(ctx, ref)
-		if err == nil && r.code > 0 {
+		if err == nil && r.Code > 0 {
 			return r
 		}
-		if errors.Is(err, store.ErrRefused) || !store.Pause(ctx, n) {
+		if errors.Is(err, store.ErrRefused) || !s.pause(ctx, n) {
 			return refuse(503, "the state service is away")
 		}
 	}
 }
 
 // tryCancel gives code 0 when the job changed meanwhile.
-func (s *Service) tryCancel(ctx context.Context, ref string) (result, error) {
+func (s *Service) tryCancel(ctx context.Context, ref string) (Result, error) {
 	it, err := s.store.Get(ctx, store.Urgent, leader.JobPrefix+ref)
 	if errors.Is(err, store.ErrMissing) {
 		return s.read(ctx, ref, View{})
 	}
 	if err != nil {
-		return result{}, err
+		return Result{}, err
 	}
 	end := leader.EndRecord{State: wire.Cancelled}
 	raw, err := json.Marshal(end)
 	if err != nil {
-		return result{}, err
+		return Result{}, err
 	}
 	o, err := s.store.Once(ctx, store.Urgent, wire.Txn{If: []wire.Guard{{Key: leader.JobPrefix + ref, Version: it.Version}},
 		Then: []wire.Write{{Put: leader.EndPrefix + ref, Value: raw}, {Delete: leader.JobPrefix + ref}}})
 	if err != nil || !o.OK {
-		return result{}, err
+		return Result{}, err
 	}
 	s.desk.Post(ended{ref, end})
-	return result{code: 200, status: endStatus(ref, end)}, nil
+	return Result{Code: 200, Status: endStatus(ref, end)}, nil
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -178,7 +178,7 @@
 	dec := yaml.NewDecoder(f)
 	dec.KnownFields(true)
 	if err := dec.Decode(&c.Tuning); err != nil && !errors.Is(err, io.EOF) {
-		return nil, fmt.Errorf("operators' settings %s: %w", tuning, err)
+		return nil, fmt.Errorf("operators' settings %s: %s", tuning, strings.Join(strings.Fields(err.Error()), " "))
 	}
 	if err := check(c.Tuning, "yaml"); err != nil {
 		return nil, fmt.Errorf("operators' settings %s: %w", tuning, err)
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,68 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"go.yaml.in/yaml/v3"
+)
+
+const good = `{"host_name":"c0","site":"a","serve_on":"127.0.0.1:1","back":"127.0.0.1:2","others":[],"novelty":1,
+"endpoints":{"cloud":"127.0.0.1:3","state":"127.0.0.1:4"},
+"facts":{"initial_size":1,"zones":["a"],"teams":[{"name":"t","cpus":1,"cpus_max":2,"gpus":0,"gpus_max":0}],
+"workers":{"report_s":3,"lease_s":20,"cancel_s":40},"state":{"rps":100,"write_rps":10,"value_kb":4,"txn_ops":8},
+"cloud":{"rps":5,"list_lag_s":4},"quota":{"cpu":0.1,"mem_mb":125,"max_sockets":100},"skew_ms":10}}`
+
+func write(t *testing.T, name, text string) string {
+	path := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestLoad(t *testing.T) {
+	cases := []struct{ name, settings, tuning, want string }{
+		{"good", good, "", ""},
+		{"tuned", good, "placement: {k: 0.5}", ""},
+		{"empty tuning", good, "", ""},
+		{"no host name", strings.Replace(good, `"host_name":"c0",`, "", 1), "", "host_name"},
+		{"bad address", strings.Replace(good, "127.0.0.1:4", "nowhere", 1), "", "endpoints.state"},
+		{"no teams", strings.Replace(good, `"teams"`, `"crews"`, 1), "", "facts.teams"},
+		{"two faults", strings.Replace(strings.Replace(good, `"rps":100`, `"rps":0`, 1), `"txn_ops":8`, `"txn_ops":0`, 1), "", "facts.state.txn_ops"},
+		{"broken", "{", "", "unexpected end"},
+		{"unknown key", good, "placement: {q: 1}", "q"},
+		{"out of range", good, "grants: {time_s: 0}", "grants.time_s"},
+		{"wrong form", good, "grants: {blocks: many}", "many"},
+	}
+	for _, c := range cases {
+		tuning := ""
+		if c.tuning != "" {
+			tuning = write(t, "t.yaml", c.tuning)
+		}
+		_, err := Load(write(t, "s.json", c.settings), tuning)
+		switch {
+		case c.want == "" && err != nil:
+			t.Errorf("%s: %v", c.name, err)
+		case c.want != "" && (err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n")):
+			t.Errorf("%s: error %v, want one line naming %s", c.name, err, c.want)
+		}
+	}
+}
+
+// The file that operators start from states the defaults, all of them.
+func TestDeployedTuningIsTheDefault(t *testing.T) {
+	raw, err := os.ReadFile("../../deploy/swiftledge.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got Tuning
+	if err := yaml.Unmarshal(raw, &got); err != nil {
+		t.Fatal(err)
+	}
+	if got != DefaultTuning() {
+		t.Errorf("deploy/swiftledge.yaml says %+v, the defaults are %+v", got, DefaultTuning())
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -117,7 +117,7 @@
 	go n.watchLeader(ctx)
 	go n.acceptPeers(back)
 	go n.desk.Run(ctx)
-	svc := api.New(n.cfg, n.store, n.desk, n.health.ok, n.report, n.log)
+	svc := api.New(n.cfg, n.store, store.Pause, n.desk, n.health.ok, n.report, n.log)
 	n.log.Info("serving", "node", n.cfg.Name, "on", n.cfg.ServeOn)
 	return svc.Serve(front)
 }
--- /dev/null
+++ b/internal/scenario/scenario_test.go
@@ -0,0 +1,267 @@
+package scenario
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"swiftledge/internal/clock"
+	"swiftledge/internal/config"
+	"swiftledge/internal/leader"
+	"swiftledge/wire"
+)
+
+// TestScenarios plays every file in testdata. Each begins with a cluster
+// command; go test ./internal/scenario -args -rewrite renews expected output,
+// which is then to be read like code.
+func TestScenarios(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		var w *world
+		defer func() {
+			if w != nil {
+				w.stop()
+			}
+		}()
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			if d.Cmd == "cluster" {
+				if w != nil {
+					w.stop()
+				}
+				w = cluster(t, d)
+				return ""
+			}
+			return command(t, w, d)
+		})
+	})
+}
+
+func arg[T any](t *testing.T, d *datadriven.TestData, key string, v T) T {
+	d.MaybeScanArgs(t, key, &v)
+	return v
+}
+
+func span(t *testing.T, d *datadriven.TestData, key string) clock.Micros {
+	v, err := time.ParseDuration(arg(t, d, key, "0s"))
+	if err != nil {
+		d.Fatalf(t, "%s: %v", key, err)
+	}
+	return clock.Micros(v / time.Microsecond)
+}
+
+func cluster(t *testing.T, d *datadriven.TestData) *world {
+	cfg := config.Config{Tuning: config.DefaultTuning()}
+	f := &cfg.Facts
+	f.InitialSize = arg(t, d, "nodes", 3)
+	f.Zones = []string{"a", "b"}
+	limit := arg(t, d, "limit", 16)
+	for _, name := range []string{"red", "blue"} {
+		f.Teams = append(f.Teams, config.Team{Name: name, CPUs: 8, CPUsMax: float64(limit)})
+	}
+	f.Workers.ReportS, f.Workers.LeaseS, f.Workers.CancelS = 3, 20, 45
+	f.State.RPS, f.State.WriteRPS = 100, 20
+	f.State.ValueKB, f.State.TxnOps = float64(arg(t, d, "value_kb", 4)), 8
+	f.Cloud.RPS, f.Cloud.ListLagS = 4, 4
+	types := []wire.MachineType{
+		{Name: "small", CPUs: 4, MemoryGB: 8, CacheGB: 40, FetchGBPS: 1, Price: 0.3, SpotPrice: 0.1, BootS: 10, ZoneNames: []string{"a", "b"}},
+		{Name: "big", CPUs: 16, MemoryGB: 64, CacheGB: 40, FetchGBPS: 1, Price: 1.3, SpotPrice: 0.5, BootS: 10, ZoneNames: []string{"a"}},
+	}
+	w := newWorld(cfg, types, uint64(arg(t, d, "seed", 1)))
+	w.cloud.Capacity = arg(t, d, "capacity", 0)
+	for i := range arg(t, d, "machines", 0) {
+		m := w.cloud.Add(0, "small", f.Zones[i%2], arg(t, d, "spot", false))
+		m.UpAt, m.Listed = 0, 0
+	}
+	return w
+}
+
+func (w *world) submit(n *simNode, body []byte) string {
+	r := n.svc.Submit(body)
+	if r.Code >= 400 {
+		return fmt.Sprintf("%d %s", r.Code, r.Why)
+	}
+	var j wire.Job
+	must(json.Unmarshal(body, &j))
+	w.jobs[j.Ref] = j
+	return fmt.Sprintf("%d %s", r.Code, r.Status.State)
+}
+
+func command(t *testing.T, w *world, d *datadriven.TestData) string {
+	node := func() *simNode { return w.nodes[arg(t, d, "node", 0)] }
+	ref := arg(t, d, "ref", "")
+	switch d.Cmd {
+	case "submit":
+		due := any(nil)
+		if v := arg(t, d, "due", 0); v > 0 {
+			due = v
+		}
+		var types any
+		if v := arg(t, d, "type", ""); v != "" {
+			types = []string{v}
+		}
+		body, err := json.Marshal(map[string]any{"ref": ref, "lane": "l", "owner": arg(t, d, "team", "red"), "shape": arg(t, d, "shape", "batch"),
+			"rank": arg(t, d, "rank", "standard"), "lots": arg(t, d, "tasks", 1), "cpus": arg(t, d, "cpus", 1.0), "accelerators": 0.0,
+			"ramGb": arg(t, d, "mem", 1.0), "kit": "img", "imageGb": 1.0, "breeds": types, "paddock": nil,
+			"together": d.HasArg("together"), "scatter": d.HasArg("scatter"), "stray": !d.HasArg("nospot"),
+			"reckonS": float64(arg(t, d, "run", 10)), "waypointS": float64(arg(t, d, "waypoint", 0)), "stashS": 2.0, "dueS": due})
+		must(err)
+		w.runS[ref] = float64(arg(t, d, "run", 10))
+		return w.submit(node(), body)
+	case "raw":
+		return w.submit(node(), []byte(d.Input))
+	case "run":
+		w.run(span(t, d, "for"))
+		return ""
+	case "status":
+		r := node().svc.Look(ref)
+		if r.Code != 200 {
+			return fmt.Sprint(r.Code)
+		}
+		return r.Status.State
+	case "abort":
+		r := node().svc.Cancel(ref)
+		if r.Code != 200 {
+			return fmt.Sprint(r.Code)
+		}
+		if r.Status.State == wire.Cancelled {
+			w.aborted[ref] = w.now
+		}
+		return r.Status.State
+	case "await":
+		return w.await(node(), ref, arg(t, d, "state", wire.Done), span(t, d, "within"))
+	case "crash":
+		for _, n := range w.pick(t, d) {
+			n.crash()
+		}
+	case "start":
+		for _, n := range w.nodes {
+			if !n.alive {
+				n.start()
+			}
+		}
+	case "node":
+		for _, n := range w.pick(t, d) {
+			n.refused = d.HasArg("refused")
+			n.cut = d.HasArg("cut")
+			n.blind = d.HasArg("blind")
+			n.loseAnswers = arg(t, d, "lose", 0)
+			n.holdUntil = w.now + span(t, d, "hold")
+		}
+	case "store":
+		if d.HasArg("down") {
+			w.store.Down = true
+		} else {
+			w.store.Up(w.now)
+		}
+	case "worker":
+		for _, s := range w.workers[arg(t, d, "from", 0):arg(t, d, "to", len(w.workers))] {
+			s.cut = d.HasArg("cut")
+			s.Sick = d.HasArg("sick")
+			s.holdUntil = w.now + span(t, d, "hold")
+			if d.HasArg("die") {
+				s.dead = true
+				s.rented.Dead = d.HasArg("listed")
+			}
+			if d.HasArg("notice") {
+				left := 10.0
+				s.NoticeS = &left
+				s.changed(w)
+			}
+		}
+	case "leader":
+		for _, n := range w.nodes {
+			if n.alive && n.elector.Epoch() > 0 {
+				return "one"
+			}
+		}
+		return "none"
+	case "rules":
+		if len(w.broken) == 0 {
+			return "kept"
+		}
+		return strings.Join(w.broken, "\n")
+	case "ran":
+		once, more := 0, 0
+		for i := range w.jobs[ref].Tasks {
+			switch k := w.ran[fmt.Sprintf("%s/%d", ref, i)]; {
+			case k == 1:
+				once++
+			case k > 1:
+				more++
+			}
+		}
+		return fmt.Sprintf("once %d, repeated %d", once, more)
+	case "on":
+		n := 0
+		for _, s := range w.workers {
+			for _, t := range s.Tasks {
+				if t.Job.Ref == ref && t.Holds() && !s.dead {
+					n++
+				}
+			}
+		}
+		return fmt.Sprint(n)
+	case "machines":
+		n := 0
+		for _, m := range w.cloud.Machines {
+			if !m.Gone {
+				n++
+			}
+		}
+		return fmt.Sprint(n)
+	case "noboot":
+		w.cloud.NoBoot = arg(t, d, "next", 1)
+	case "catalog":
+		for _, n := range w.nodes {
+			if _, ok := w.store.Get(leader.CatalogKey); !ok {
+				return "unknown at " + n.name
+			}
+		}
+		return "known"
+	case "keys":
+		items, _ := w.store.List(arg(t, d, "prefix", ""))
+		return fmt.Sprint(len(items))
+	default:
+		d.Fatalf(t, "unknown command %s", d.Cmd)
+	}
+	return ""
+}
+
+// pick names controllers: one by number, "leader", "others" or "all".
+func (w *world) pick(t *testing.T, d *datadriven.TestData) []*simNode {
+	who := arg(t, d, "who", "all")
+	var out []*simNode
+	for _, n := range w.nodes {
+		leads := n.alive && n.elector.Epoch() > 0
+		if who == "all" || who == n.name || who == "leader" && leads || who == "others" && n.alive && !leads {
+			out = append(out, n)
+		}
+	}
+	if len(out) == 0 {
+		d.Fatalf(t, "nobody is %s", who)
+	}
+	return out
+}
+
+func (w *world) await(n *simNode, ref, state string, within clock.Micros) string {
+	for end := w.now + within; w.now < end; {
+		w.run(clock.Second / 4)
+		if state == "on" {
+			for _, s := range w.workers {
+				for _, t := range s.Tasks {
+					if t.Job.Ref == ref && t.Holds() {
+						return "on"
+					}
+				}
+			}
+			continue
+		}
+		if r := n.svc.Look(ref); r.Code == 200 && r.Status.State == state {
+			return state
+		}
+	}
+	return "not in time"
+}
--- /dev/null
+++ b/internal/scenario/world.go
@@ -0,0 +1,834 @@
+// Package scenario plays small clusters of our own actors against the stand-ins,
+// in simulated time and always the same way, and watches the users' rules.
+package scenario
+
+import (
+	"container/heap"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"swiftledge/internal/api"
+	"swiftledge/internal/block"
+	"swiftledge/internal/clock"
+	"swiftledge/internal/config"
+	"swiftledge/internal/election"
+	"swiftledge/internal/leader"
+	"swiftledge/internal/peer"
+	"swiftledge/internal/placement"
+	"swiftledge/internal/standin"
+	"swiftledge/internal/store"
+	"swiftledge/wire"
+)
+
+type event struct {
+	at  clock.Micros
+	seq int
+	f   func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	if e[i].at != e[j].at {
+		return e[i].at < e[j].at
+	}
+	return e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+// world is a cluster with all that it talks to.
+type world struct {
+	now     clock.Micros
+	seq     int
+	events  events
+	rng     *rand.Rand
+	cfg     config.Config
+	store   *standin.Store
+	cloud   *standin.Cloud
+	nodes   []*simNode
+	workers []*simWorker
+	jobs    map[string]wire.Job
+	runS    map[string]float64
+	aborted map[string]clock.Micros // when the user was told
+	broken  []string
+	ran     map[string]int // completed runs by task
+	stop    context.CancelFunc
+	ctx     context.Context
+}
+
+type simNode struct {
+	w           *world
+	i           int
+	name        string
+	gen         int
+	alive       bool
+	refused     bool // by the state service alone
+	cut         bool // from the other controllers
+	blind       bool // from the workers
+	loseAnswers int  // of the state service, while the requests are carried out
+	holdUntil   clock.Micros
+	cfg         config.Config
+	elector     *election.Elector
+	leader      *leader.Leader
+	holder      *block.Holder
+	desk        *api.Desk
+	svc         *api.Service
+	epoch       uint64 // that it follows
+	link        *simLink
+	leaderRev   uint64
+	jobEpoch    uint64
+	jobRev      uint64
+}
+
+// simLink is a connection from a follower to the leader.
+type simLink struct {
+	epoch            uint64
+	follower, leader *simNode
+	fgen, lgen       int
+	broken           bool
+}
+
+type simWorker struct {
+	*standin.Worker
+	rented *standin.Rented
+	target int
+	nextAt clock.Micros
+	lastAt clock.Micros
+	busy   bool
+	cut    bool
+	// hold delivers what is sent to or from the machine late.
+	holdUntil clock.Micros
+	dead      bool
+}
+
+func (w *world) after(d clock.Micros, f func()) {
+	w.seq++
+	heap.Push(&w.events, event{w.now + d, w.seq, f})
+}
+
+// lat is the delay of one message.
+func (w *world) lat() clock.Micros { return clock.Millisecond + clock.Micros(w.rng.IntN(2000)) }
+
+const step = 50 * clock.Millisecond
+
+func newWorld(cfg config.Config, types []wire.MachineType, seed uint64) *world {
+	ctx, stop := context.WithCancel(context.Background())
+	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), cfg: cfg, ctx: ctx, stop: stop,
+		store: standin.NewStore(cfg.Facts.State.ValueKB, cfg.Facts.State.TxnOps),
+		cloud: standin.NewCloud(types, clock.FromSeconds(cfg.Facts.Cloud.ListLagS)),
+		jobs:  map[string]wire.Job{}, runS: map[string]float64{}, aborted: map[string]clock.Micros{}, ran: map[string]int{}}
+	for i := range cfg.Facts.InitialSize {
+		n := &simNode{w: w, i: i, name: fmt.Sprintf("n%d", i), cfg: cfg}
+		n.cfg.Name = n.name
+		w.nodes = append(w.nodes, n)
+		n.start()
+	}
+	w.after(step, w.tick)
+	return w
+}
+
+func (w *world) run(d clock.Micros) {
+	end := w.now + d
+	for len(w.events) > 0 && w.events[0].at <= end {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		e.f()
+	}
+	w.now = end
+}
+
+func (w *world) tick() {
+	w.store.Expire(w.now)
+	for _, n := range w.nodes {
+		n.tick()
+	}
+	for _, name := range sortedKeys(w.cloud.Machines) {
+		m := w.cloud.Machines[name]
+		if !m.Gone && !m.Dead && !m.Never && w.now >= m.UpAt && w.worker(name) == nil {
+			w.boot(m)
+		}
+	}
+	for _, s := range w.workers {
+		s.tick(w)
+	}
+	for _, ref := range sortedKeys(w.aborted) {
+		if w.now-w.aborted[ref] > clock.FromSeconds(w.cfg.Facts.Workers.CancelS) {
+			for _, s := range w.workers {
+				for _, t := range s.Tasks {
+					if t.Job.Ref == ref && t.Holds() && !s.dead {
+						w.breaks("ran_cancelled: %s on %s", t.Task, s.Name)
+					}
+				}
+			}
+		}
+	}
+	w.after(step, w.tick)
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	out := make([]string, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (w *world) breaks(f string, args ...any) {
+	s := fmt.Sprintf(f, args...)
+	if !slices.Contains(w.broken, s) {
+		w.broken = append(w.broken, s)
+	}
+}
+
+func (w *world) worker(name string) *simWorker {
+	for _, s := range w.workers {
+		if s.Name == name {
+			return s
+		}
+	}
+	return nil
+}
+
+func (w *world) boot(m *standin.Rented) {
+	var t wire.MachineType
+	for _, x := range w.cloud.Types {
+		if x.Name == m.Type {
+			t = x
+		}
+	}
+	s := &simWorker{rented: m, Worker: &standin.Worker{Name: m.Name, Address: m.Address, Type: m.Type, Zone: m.Zone, Spot: m.Spot,
+		Lease: w.cfg.LeaseTime(), CPUs: t.CPUs, Memory: t.MemoryGB, FetchS: 1,
+		Find: func(ref string) (wire.Job, bool) { j, ok := w.jobs[ref]; return j, ok },
+		RunS: func(j *wire.Job, i int) float64 { return w.runS[j.Ref] }}}
+	s.Started = func(t *standin.Task) { w.started(s, t) }
+	s.Ended = func(t *standin.Task) {
+		if t.Cause == wire.CauseDone {
+			w.ran[t.Task]++
+		}
+	}
+	s.Boot(w.now)
+	s.nextAt = w.now
+	s.target = w.rng.IntN(len(w.nodes))
+	w.workers = append(w.workers, s)
+}
+
+// started judges the rules that can break when a task begins to run.
+func (w *world) started(at *simWorker, t *standin.Task) {
+	if told, ok := w.aborted[t.Job.Ref]; ok && w.now-told > clock.FromSeconds(w.cfg.Facts.Workers.CancelS) {
+		w.breaks("ran_cancelled: %s starts on %s", t.Task, at.Name)
+	}
+	if j := &t.Job; at.Spot && !j.Spot || len(j.Types) > 0 && !slices.Contains(j.Types, at.Type) || j.Zone != "" && j.Zone != at.Zone {
+		w.breaks("wrong_place: %s on %s", t.Task, at.Name)
+	}
+	use := 0.0
+	zones := map[string]int{}
+	for _, s := range w.workers {
+		if s.dead {
+			continue
+		}
+		for _, o := range s.Tasks {
+			if !o.Holds() {
+				continue
+			}
+			if o.Task == t.Task && o != t {
+				w.breaks("ran_twice: %s on %s and %s", t.Task, s.Name, at.Name)
+			}
+			if o.Job.Team == t.Job.Team {
+				use += o.Job.CPUs
+			}
+			if o.Job.Ref == t.Job.Ref {
+				zones[s.Zone]++
+			}
+		}
+	}
+	if team, _ := w.cfg.Team(t.Job.Team); use > team.CPUsMax+1e-9 {
+		w.breaks("quota: %s uses %.0f cpus", t.Job.Team, use)
+	}
+	if t.Job.OneZone && len(zones) > 1 {
+		w.breaks("wrong_place: %s is in several zones", t.Job.Ref)
+	}
+	for z, k := range zones {
+		if t.Job.Spread && k > (t.Job.Tasks+1)/2 {
+			w.breaks("wrong_place: %s has %d tasks in %s", t.Job.Ref, k, z)
+		}
+	}
+}
+
+// Workers.
+
+func (s *simWorker) tick(w *world) {
+	if s.rented.Gone {
+		s.dead = true
+	}
+	if s.dead {
+		return
+	}
+	if s.Advance(w.now) {
+		s.changed(w)
+	}
+	if s.busy || w.now < s.nextAt {
+		return
+	}
+	s.busy = true
+	s.lastAt = w.now
+	every := clock.FromSeconds(w.cfg.Facts.Workers.ReportS)
+	s.nextAt = w.now + every*3/4 + clock.Micros(w.rng.Int64N(int64(every/2)))
+	r := s.Report()
+	sent, session, n := w.now, s.Session, w.nodes[s.target]
+	settled := false
+	next := func(to int, wait clock.Micros) {
+		if settled {
+			return
+		}
+		settled = true
+		w.after(wait, func() { s.busy, s.target, s.nextAt = false, to, w.now })
+	}
+	w.after(4*clock.Second, func() { next((s.target+1)%len(w.nodes), clock.Second) })
+	s.deliver(w, func() {
+		if !n.alive {
+			next((s.target+1)%len(w.nodes), clock.Second)
+			return
+		}
+		if n.blind {
+			return
+		}
+		n.holderStep(block.Report{R: r, Tag: func(a block.Answer) {
+			s.deliver(w, func() {
+				if settled || s.dead {
+					return
+				}
+				switch {
+				case a.Status == 200:
+					settled, s.busy = true, false
+					if s.Answered(w.now, sent, session, a.Body) {
+						s.changed(w)
+					}
+				case a.Status == 421 && a.Redirect.ReportTo != "":
+					for i, o := range w.nodes {
+						if o.name == a.Redirect.ReportTo && i != s.target {
+							next(i, 100*clock.Millisecond)
+							return
+						}
+					}
+					next((s.target+1)%len(w.nodes), clock.Second)
+				default:
+					next((s.target+1)%len(w.nodes), clock.Second)
+				}
+			})
+		}})
+	})
+}
+
+// deliver carries a message to or from the machine: never while it is cut, late while it is held.
+func (s *simWorker) deliver(w *world, f func()) {
+	d := w.lat()
+	switch {
+	case s.holdUntil > w.now:
+		d += s.holdUntil - w.now
+	case s.cut:
+		return
+	}
+	w.after(d, f)
+}
+
+func (s *simWorker) changed(w *world) {
+	s.nextAt = min(s.nextAt, max(w.now, s.lastAt+clock.Second/2))
+}
+
+// Controllers.
+
+func (n *simNode) start() {
+	n.gen++
+	n.alive = true
+	n.epoch, n.link, n.leaderRev, n.jobEpoch = 0, nil, 0, 0
+	t := n.cfg.Tuning.Placement
+	ok := func() bool { return !n.refused && !n.w.store.Down }
+	n.elector = election.New(election.Record{Node: n.name, Run: uint64(n.gen)*100 + uint64(n.i)}, clock.FromSeconds(n.cfg.Tuning.Election.TTLS))
+	n.leader = leader.New(&n.cfg, ok)
+	n.holder = block.New(block.Params{Node: n.name, GrantTime: n.cfg.GrantTime(), Lease: n.cfg.LeaseTime(),
+		ReportTime: clock.FromSeconds(n.cfg.Facts.Workers.ReportS), ValueBytes: int(n.cfg.Facts.State.ValueKB * 900), TxnOps: n.cfg.Facts.State.TxnOps},
+		placement.Params{K: t.K, Eta: t.Eta, Epsilon: t.Epsilon, Small: t.Small}, ok)
+	n.desk = api.NewDesk(&n.cfg, clock.NewSteady())
+	go n.desk.Run(n.w.ctx)
+	n.svc = api.New(&n.cfg, n, func(_ context.Context, try int) bool { return try < 3 }, n.desk, ok, nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	n.look()
+}
+
+func (n *simNode) crash() {
+	n.alive = false
+	n.gen++
+	for _, o := range n.w.nodes {
+		if o.link != nil && (o == n || o.link.leader == n) {
+			l := o.link
+			n.w.after(100*clock.Millisecond, l.end)
+		}
+	}
+}
+
+// still runs f only if the process that asked is still the same.
+func (n *simNode) still(f func()) func() {
+	gen := n.gen
+	return func() {
+		if n.alive && n.gen == gen {
+			f()
+		}
+	}
+}
+
+func (n *simNode) tick() {
+	if !n.alive {
+		return
+	}
+	if n.reaches() {
+		if n.leaderRev > 0 {
+			a := n.w.store.Since(leader.Key, n.leaderRev)
+			n.leaderRev = max(n.leaderRev, a.Revision)
+			for _, ev := range a.Events {
+				seen := election.Seen{Revision: ev.Version}
+				if ev.Put == leader.Key {
+					seen.Version = ev.Version
+					must(json.Unmarshal(ev.Value, &seen.Record))
+				}
+				if ev.Put+ev.Delete == leader.Key {
+					n.electorStep(seen)
+				}
+			}
+		}
+		if n.jobEpoch > 0 {
+			a := n.w.store.Since(leader.JobPrefix, n.jobRev)
+			n.jobRev = max(n.jobRev, a.Revision)
+			if len(a.Events) > 0 {
+				n.leaderStep(leader.Watched{Epoch: n.jobEpoch, Events: a.Events})
+			}
+		}
+	}
+	n.electorStep(election.Tick{})
+	n.leaderStep(leader.Tick{})
+	n.holderStep(block.Tick{})
+}
+
+func must(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+func (n *simNode) reaches() bool { return !n.refused && !n.w.store.Down }
+
+// ask carries a request to the state service and its answer back.
+func (n *simNode) ask(f func(), answer func(err error)) {
+	w := n.w
+	w.after(w.lat(), func() {
+		switch {
+		case n.holdUntil > w.now:
+			// Held on the way: carried out long after the sender gave up.
+			w.after(n.holdUntil-w.now, func() {
+				if !w.store.Down {
+					f()
+				}
+			})
+			w.after(1500*clock.Millisecond, n.still(func() { answer(store.ErrUnknown) }))
+		case !n.reaches():
+			w.after(w.lat(), n.still(func() { answer(store.ErrRefused) }))
+		case n.loseAnswers > 0:
+			n.loseAnswers--
+			f()
+			w.after(1500*clock.Millisecond, n.still(func() { answer(store.ErrUnknown) }))
+		default:
+			f()
+			w.after(w.lat(), n.still(func() { answer(nil) }))
+		}
+	})
+}
+
+func (n *simNode) txn(t wire.Txn, answer func(store.Outcome, error)) {
+	var o store.Outcome
+	var problem string
+	n.ask(func() { o, problem = n.w.store.Txn(t) }, func(err error) {
+		if err == nil && problem != "" {
+			err = errors.New(problem)
+			if !o.NoLease {
+				n.w.breaks("malformed transaction: %s", problem)
+			}
+		}
+		if err != nil {
+			answer(store.Outcome{NoLease: o.NoLease}, err)
+			return
+		}
+		answer(o, nil)
+	})
+}
+
+func (n *simNode) commit(t wire.Txn, unsure bool, live func() bool, answer func(store.Outcome, error)) {
+	n.txn(t, func(o store.Outcome, err error) {
+		if !live() {
+			return
+		}
+		if errors.Is(err, store.ErrUnknown) || errors.Is(err, store.ErrRefused) {
+			again := unsure || errors.Is(err, store.ErrUnknown)
+			n.w.after(100*clock.Millisecond, n.still(func() { n.commit(t, again, live, answer) }))
+			return
+		}
+		o.Unsure = unsure
+		answer(o, err)
+	})
+}
+
+// Get and Once serve the users' requests, which scenarios make outside of time.
+func (n *simNode) Get(_ context.Context, _ int, key string) (wire.Item, error) {
+	if !n.reaches() {
+		return wire.Item{}, store.ErrRefused
+	}
+	if it, ok := n.w.store.Get(key); ok {
+		return it, nil
+	}
+	return wire.Item{}, store.ErrMissing
+}
+
+func (n *simNode) Once(_ context.Context, _ int, t wire.Txn) (store.Outcome, error) {
+	if !n.reaches() {
+		return store.Outcome{}, store.ErrRefused
+	}
+	o, problem := n.w.store.Txn(t)
+	if problem != "" {
+		return o, errors.New(problem)
+	}
+	if n.loseAnswers > 0 {
+		n.loseAnswers--
+		return store.Outcome{}, store.ErrUnknown
+	}
+	return o, nil
+}
+
+func (n *simNode) electorStep(msg any) {
+	for _, fx := range n.elector.Step(n.w.now, msg) {
+		n.electorEffect(fx)
+	}
+}
+
+func (n *simNode) look() {
+	var it wire.Item
+	var ok bool
+	var rev uint64
+	n.ask(func() {
+		it, ok = n.w.store.Get(leader.Key)
+		_, rev = n.w.store.List("none")
+	}, func(err error) {
+		if err != nil {
+			n.w.after(200*clock.Millisecond, n.still(n.look))
+			return
+		}
+		seen := election.Seen{Revision: rev}
+		if ok {
+			seen.Version = it.Version
+			must(json.Unmarshal(it.Value, &seen.Record))
+		}
+		n.leaderRev = max(n.leaderRev, rev)
+		n.electorStep(seen)
+	})
+}
+
+func (n *simNode) electorEffect(fx any) {
+	w := n.w
+	switch x := fx.(type) {
+	case election.GetLease:
+		sent := w.now
+		var id uint64
+		n.ask(func() { id = w.store.Grant(w.now, x.TTL) }, func(err error) {
+			n.electorStep(election.Leased{Lease: id, Sent: sent, Err: err})
+		})
+	case election.Claim:
+		raw, err := json.Marshal(x.Record)
+		must(err)
+		n.txn(wire.Txn{If: []wire.Guard{{Key: leader.Key}}, Then: []wire.Write{{Put: leader.Key, Value: raw, Lease: x.Lease}}},
+			func(o store.Outcome, err error) {
+				n.electorStep(election.Claimed{Lease: x.Lease, Outcome: o, Err: err})
+			})
+	case election.Renew:
+		sent := w.now
+		found := false
+		n.ask(func() { found = w.store.Touch(w.now, x.Lease) }, func(err error) {
+			if err == nil && !found {
+				err = store.ErrMissing
+			}
+			n.electorStep(election.Renewed{Lease: x.Lease, Sent: sent, Err: err})
+		})
+	case election.Drop:
+		n.ask(func() { w.store.End(x.Lease) }, func(error) {})
+	case election.Look:
+		n.look()
+	case election.Lead:
+		n.leaderStep(leader.Elected{Epoch: x.Epoch, Run: uint64(n.gen)})
+		n.leaderStep(leader.Authority{Until: x.Until})
+	case election.Extend:
+		n.leaderStep(leader.Authority{Until: x.Until})
+	case election.Depose:
+		n.jobEpoch = 0
+		n.leaderStep(leader.Deposed{})
+	case election.Follow:
+		n.desk.Post(api.Following{Epoch: x.Epoch, Node: x.Node})
+		n.epoch = x.Epoch
+		if x.Epoch > 0 {
+			n.follow(x.Epoch, x.Node)
+		}
+	}
+}
+
+func (n *simNode) follow(epoch uint64, name string) {
+	w := n.w
+	w.after(w.lat(), n.still(func() {
+		if n.epoch != epoch {
+			return
+		}
+		i := slices.IndexFunc(w.nodes, func(o *simNode) bool { return o.name == name })
+		to := w.nodes[i]
+		if !to.alive || to.elector.Epoch() != epoch || (to != n && (to.cut || n.cut)) {
+			w.after(300*clock.Millisecond, n.still(func() { n.follow(epoch, name) }))
+			return
+		}
+		if n.link != nil {
+			n.link.end()
+		}
+		l := &simLink{epoch: epoch, follower: n, leader: to, fgen: n.gen, lgen: to.gen}
+		n.link = l
+		to.leaderStep(leader.Joined{Node: n.name, Run: uint64(n.gen), Link: l})
+		n.holderStep(block.Linked{Epoch: epoch})
+	}))
+}
+
+// end breaks a link; both sides see it if they are still there.
+func (l *simLink) end() {
+	if l.broken {
+		return
+	}
+	l.broken = true
+	f, to := l.follower, l.leader
+	if to.alive && to.gen == l.lgen {
+		to.leaderStep(leader.Left{Node: f.name, Link: l})
+	}
+	if f.alive && f.gen == l.fgen && f.link == l {
+		f.link = nil
+		f.holderStep(block.Unlinked{Epoch: l.epoch})
+		if f.epoch == l.epoch {
+			f.follow(l.epoch, to.name)
+		}
+	}
+}
+
+// carry brings a message over the link; a cut one breaks after a while.
+func (l *simLink) carry(f func()) {
+	w := l.follower.w
+	if l.follower != l.leader && (l.follower.cut || l.leader.cut) {
+		w.after(4*clock.Second, l.end)
+		return
+	}
+	w.after(w.lat(), func() {
+		if !l.broken && l.follower.alive && l.leader.alive && l.follower.gen == l.fgen && l.leader.gen == l.lgen {
+			f()
+		}
+	})
+}
+
+func (n *simNode) holderStep(msg any) {
+	for _, fx := range n.holder.Step(n.w.now, msg) {
+		n.holderEffect(fx)
+	}
+}
+
+func (n *simNode) holderEffect(fx any) {
+	switch x := fx.(type) {
+	case block.Send:
+		if l := n.link; l != nil {
+			l.carry(func() { l.leader.leaderStep(leader.Said{Node: n.name, Link: l, Up: &x.Up}) })
+		}
+	case block.Answer:
+		x.Tag.(func(block.Answer))(x)
+	case block.Orders:
+		n.direct(x)
+	case block.Record:
+		raw, err := json.Marshal(x.Page)
+		must(err)
+		key := block.Key(x.Block)
+		n.commit(wire.Txn{If: []wire.Guard{{Key: key, Version: x.Stamp}, {Key: x.Key}}, Then: []wire.Write{{Put: x.Key, Value: raw}}},
+			false, func() bool { return true }, func(o store.Outcome, err error) {
+				done := block.Recorded{Block: x.Block, Token: x.Token, Key: x.Key, OK: o.OK, Fenced: o.FailedOn(key)}
+				if !done.Fenced && o.FailedOn(x.Key) {
+					done.OK = true
+				}
+				n.holderStep(done)
+			})
+	case block.Erase:
+		t := wire.Txn{If: []wire.Guard{{Key: block.Key(x.Block), Version: x.Stamp}}}
+		for _, k := range x.Keys {
+			t.Then = append(t.Then, wire.Write{Delete: k})
+		}
+		n.txn(t, func(store.Outcome, error) {})
+	default:
+		panic(fmt.Sprintf("unknown effect %T", fx))
+	}
+}
+
+func (n *simNode) direct(o block.Orders) {
+	w := n.w
+	s := w.worker(o.Machine)
+	done := block.Ordered{Orders: o}
+	if s == nil || s.dead || n.blind || (s.cut && s.holdUntil <= w.now) {
+		done.Status = block.NotSent
+		w.after(clock.Second, n.still(func() { n.holderStep(done) }))
+		return
+	}
+	settled := false
+	w.after(3*clock.Second, n.still(func() {
+		if !settled {
+			settled = true
+			n.holderStep(done)
+		}
+	}))
+	s.deliver(w, func() {
+		if s.dead {
+			return
+		}
+		status, r, changed := s.Orders(w.now, o.Body)
+		if changed {
+			s.changed(w)
+		}
+		s.deliver(w, n.still(func() {
+			if !settled {
+				settled = true
+				done.Status, done.R = status, r
+				n.holderStep(done)
+			}
+		}))
+	})
+}
+
+func (n *simNode) leaderStep(msg any) {
+	for _, fx := range n.leader.Step(n.w.now, msg) {
+		n.leaderEffect(fx)
+	}
+}
+
+func (n *simNode) leaderEffect(fx any) {
+	w := n.w
+	during := func(epoch uint64) func() bool { return func() bool { return n.elector.Epoch() == epoch } }
+	// The cloud answers within a quarter of a second, also a leader that is none any more.
+	cloud := func(f func()) { w.after(100*clock.Millisecond, n.still(f)) }
+	switch x := fx.(type) {
+	case leader.Tell:
+		l := x.Link.(*simLink)
+		l.carry(func() {
+			l.follower.desk.Post(&x.Down)
+			l.follower.holderStep(&x.Down)
+		})
+	case leader.Load:
+		n.load(x.Epoch)
+	case leader.LoadRecords:
+		n.loadRecords(x)
+	case leader.Commit:
+		n.commit(x.Txn, false, during(x.Epoch), func(o store.Outcome, err error) {
+			n.leaderStep(leader.Committed{Epoch: x.Epoch, Tag: x.Tag, Outcome: o, Err: err})
+		})
+	case leader.ReadKey:
+		n.readKey(x)
+	case leader.Rent:
+		cloud(func() {
+			names, ok := w.cloud.Rent(w.now, x.Rental)
+			m := leader.Rented{Epoch: x.Epoch, Request: x.Rental.Request, Machines: names, NoCapacity: !ok}
+			if !ok {
+				m.Err = errors.New("no capacity")
+			}
+			n.leaderStep(m)
+		})
+	case leader.Delete:
+		cloud(func() {
+			w.cloud.Delete(x.Machines)
+			n.leaderStep(leader.Deleted{Epoch: x.Epoch, Machines: x.Machines})
+		})
+	case leader.List:
+		cloud(func() { n.leaderStep(leader.Listed{Machines: w.cloud.List(w.now)}) })
+	case leader.ReadCatalog:
+		cloud(func() { n.leaderStep(leader.CatalogRead{Types: w.cloud.Types}) })
+	case leader.Resign:
+		w.after(1, n.still(func() { n.electorStep(election.Resign{Epoch: n.elector.Epoch()}) }))
+	case leader.Log:
+	default:
+		panic(fmt.Sprintf("unknown effect %T", fx))
+	}
+}
+
+func (n *simNode) load(epoch uint64) {
+	var items []wire.Item
+	var rev uint64
+	n.ask(func() {
+		items = nil
+		all, r := n.w.store.List("")
+		rev = r
+		for _, it := range all {
+			if !strings.HasPrefix(it.Key, "run/") && !strings.HasPrefix(it.Key, leader.EndPrefix) {
+				items = append(items, it)
+			}
+		}
+	}, func(err error) {
+		if n.elector.Epoch() != epoch {
+			return
+		}
+		if err != nil {
+			n.w.after(100*clock.Millisecond, n.still(func() { n.load(epoch) }))
+			return
+		}
+		n.jobEpoch, n.jobRev = epoch, rev
+		n.leaderStep(leader.Loaded{Epoch: epoch, Items: items, Revision: rev})
+	})
+}
+
+func (n *simNode) loadRecords(x leader.LoadRecords) {
+	var items []wire.Item
+	n.ask(func() { items, _ = n.w.store.List(block.RecordPrefix(x.Block)) }, func(err error) {
+		if n.elector.Epoch() != x.Epoch {
+			return
+		}
+		if err != nil {
+			n.w.after(100*clock.Millisecond, n.still(func() { n.loadRecords(x) }))
+			return
+		}
+		pages := map[string]peer.RecordPage{}
+		for _, it := range items {
+			var p peer.RecordPage
+			must(json.Unmarshal(it.Value, &p))
+			pages[it.Key] = p
+		}
+		n.leaderStep(leader.Records{Epoch: x.Epoch, Block: x.Block, Token: x.Token, Pages: pages})
+	})
+}
+
+func (n *simNode) readKey(x leader.ReadKey) {
+	var it wire.Item
+	var ok bool
+	n.ask(func() { it, ok = n.w.store.Get(x.Key) }, func(err error) {
+		if n.elector.Epoch() != x.Epoch {
+			return
+		}
+		if err != nil {
+			n.w.after(100*clock.Millisecond, n.still(func() { n.readKey(x) }))
+			return
+		}
+		it.Key = x.Key
+		n.leaderStep(leader.Read{Epoch: x.Epoch, Tag: x.Tag, Item: it, Found: ok})
+	})
+}
--- /dev/null
+++ b/internal/standin/store.go
@@ -0,0 +1,172 @@
+// Package standin holds our own stand-ins for the state service, the cloud and
+// the workers, written from the protocol's pages. They know no time but what
+// they are told, so scenarios replay the same each time.
+package standin
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+
+	"swiftledge/internal/clock"
+	"swiftledge/internal/store"
+	"swiftledge/wire"
+)
+
+type lease struct {
+	ttl, ends clock.Micros
+}
+
+type change struct {
+	rev uint64
+	ev  wire.Event
+}
+
+// Store is the state service.
+type Store struct {
+	Down     bool // answers 503 to all
+	ValueMax int
+	TxnOps   int
+	Puts     int
+
+	rev    uint64
+	items  map[string]wire.Item
+	leases map[uint64]*lease
+	nextID uint64
+	log    []change
+}
+
+// NewStore makes an empty store with the limits of the settings.
+func NewStore(valueKB float64, txnOps int) *Store {
+	return &Store{ValueMax: int(valueKB * 1024), TxnOps: txnOps, items: map[string]wire.Item{}, leases: map[uint64]*lease{}}
+}
+
+// Expire ends leases that were not renewed in time.
+func (s *Store) Expire(now clock.Micros) {
+	if s.Down {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.leases)) {
+		if now >= s.leases[id].ends {
+			s.End(id)
+		}
+	}
+}
+
+// Up ends an outage: every lease has its full time again.
+func (s *Store) Up(now clock.Micros) {
+	s.Down = false
+	for _, l := range s.leases {
+		l.ends = now + l.ttl
+	}
+}
+
+// Grant makes a lease.
+func (s *Store) Grant(now, ttl clock.Micros) uint64 {
+	s.nextID++
+	s.leases[s.nextID] = &lease{ttl, now + ttl}
+	return s.nextID
+}
+
+// Touch renews a lease; false when there is none.
+func (s *Store) Touch(now clock.Micros, id uint64) bool {
+	l := s.leases[id]
+	if l == nil {
+		return false
+	}
+	l.ends = now + l.ttl
+	return true
+}
+
+// End ends a lease and removes its keys.
+func (s *Store) End(id uint64) {
+	if s.leases[id] == nil {
+		return
+	}
+	delete(s.leases, id)
+	var keys []string
+	for k, it := range s.items {
+		if it.Lease == id {
+			keys = append(keys, k)
+		}
+	}
+	slices.Sort(keys)
+	if len(keys) > 0 {
+		s.rev++
+	}
+	for _, k := range keys {
+		delete(s.items, k)
+		s.log = append(s.log, change{s.rev, wire.Event{Delete: k, Version: s.rev}})
+	}
+}
+
+// Get reads a key.
+func (s *Store) Get(key string) (wire.Item, bool) {
+	it, ok := s.items[key]
+	return it, ok
+}
+
+// List reads all keys with a prefix.
+func (s *Store) List(prefix string) ([]wire.Item, uint64) {
+	var out []wire.Item
+	for _, k := range slices.Sorted(maps.Keys(s.items)) {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, s.items[k])
+		}
+	}
+	return out, s.rev
+}
+
+// Txn carries out a transaction; problem tells of one that is malformed.
+func (s *Store) Txn(t wire.Txn) (o store.Outcome, problem string) {
+	s.Puts += len(t.Then)
+	if len(t.Then) > s.TxnOps || len(t.If) > 4*s.TxnOps {
+		return o, "too many operations"
+	}
+	for _, w := range t.Then {
+		if len(w.Value) > s.ValueMax {
+			return o, "value of " + w.Put + " is too large"
+		}
+		if w.Put != "" && !json.Valid(w.Value) {
+			return o, "value of " + w.Put + " is no JSON"
+		}
+		if w.Lease != 0 && s.leases[w.Lease] == nil {
+			return store.Outcome{NoLease: true}, "no such lease"
+		}
+	}
+	for _, g := range t.If {
+		if s.items[g.Key].Version != g.Version {
+			o.Failed = append(o.Failed, g.Key)
+		}
+	}
+	o.Revision = s.rev
+	if len(o.Failed) > 0 || len(t.Then) == 0 {
+		o.OK = len(o.Failed) == 0
+		return o, ""
+	}
+	s.rev++
+	for _, w := range t.Then {
+		if w.Put != "" {
+			s.items[w.Put] = wire.Item{Key: w.Put, Value: slices.Clone(w.Value), Version: s.rev, Lease: w.Lease}
+			s.log = append(s.log, change{s.rev, wire.Event{Put: w.Put, Value: slices.Clone(w.Value), Version: s.rev}})
+		} else if _, ok := s.items[w.Delete]; ok {
+			delete(s.items, w.Delete)
+			s.log = append(s.log, change{s.rev, wire.Event{Delete: w.Delete, Version: s.rev}})
+		}
+	}
+	o.OK, o.Revision = true, s.rev
+	return o, ""
+}
+
+// Since gives the changes under a prefix after a revision.
+func (s *Store) Since(prefix string, rev uint64) wire.WatchAnswer {
+	a := wire.WatchAnswer{Revision: s.rev}
+	i, _ := slices.BinarySearchFunc(s.log, rev+1, func(c change, r uint64) int { return int(c.rev) - int(r) })
+	for _, c := range s.log[i:] {
+		if strings.HasPrefix(c.ev.Put+c.ev.Delete, prefix) {
+			a.Events = append(a.Events, c.ev)
+		}
+	}
+	return a
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,206 @@
+package standin
+
+import (
+	"strconv"
+	"strings"
+
+	"swiftledge/internal/clock"
+	"swiftledge/wire"
+)
+
+// Task is one attempt on a worker.
+type Task struct {
+	wire.TaskReport
+	Job   wire.Job
+	Index int
+	until clock.Micros // of fetching, running or saving
+}
+
+// Holds says whether the task counts as on the machine: it has its image and has not exited.
+func (t *Task) Holds() bool { return t.State == wire.Running || t.State == wire.Saving }
+
+// Worker runs tasks as its protocol page says.
+type Worker struct {
+	Name, Address, Type, Zone string
+	Spot                      bool
+	Lease                     clock.Micros
+	CPUs, Memory              float64
+	FetchS                    float64
+	Sick                      bool // every task fails
+	NoticeS                   *float64
+	Session, Seq, Token       uint64
+	Tasks                     []*Task
+	// Find gives a job's description, as its user uploaded it.
+	Find func(ref string) (wire.Job, bool)
+	// RunS is how long a task really runs.
+	RunS func(j *wire.Job, index int) float64
+	// Started and Ended tell who watches the rules.
+	Started func(t *Task)
+	Ended   func(t *Task)
+	Kept    map[string]bool // results of completed tasks
+
+	renewed clock.Micros
+	images  map[string]bool
+}
+
+// Boot begins the first session.
+func (w *Worker) Boot(now clock.Micros) {
+	w.Session, w.renewed = 1, now
+	w.images = map[string]bool{}
+	w.Kept = map[string]bool{}
+}
+
+// Advance lets time pass: images arrive, tasks end, the lease runs out. It says whether something changed.
+func (w *Worker) Advance(now clock.Micros) bool {
+	changed := false
+	if now > w.renewed+w.Lease {
+		for _, t := range w.Tasks {
+			w.end(t, "lost")
+		}
+		w.Tasks = nil
+		w.Session++
+		w.renewed = now
+		changed = true
+	}
+	for _, t := range w.Tasks {
+		if t.until == 0 || now < t.until || t.State == wire.Exited {
+			continue
+		}
+		changed = true
+		switch t.State {
+		case wire.Fetching:
+			w.images[t.Job.Image] = true
+			if w.Kept[t.Task] {
+				w.end(t, wire.CauseDone)
+				continue
+			}
+			t.State = wire.Running
+			t.until = now + clock.FromSeconds(w.RunS(&t.Job, t.Index))
+			if w.Sick {
+				t.until = now + clock.Second
+			}
+			w.Started(t)
+		case wire.Running:
+			if w.Sick {
+				w.end(t, wire.CauseError)
+			} else {
+				w.Kept[t.Task] = true
+				w.end(t, wire.CauseDone)
+			}
+		case wire.Saving:
+			t.Stored = true
+			w.end(t, wire.CauseStopped)
+		}
+	}
+	return changed
+}
+
+func (w *Worker) end(t *Task, cause string) {
+	if t.State == wire.Exited {
+		return
+	}
+	held := t.Holds()
+	t.State, t.Cause, t.until = wire.Exited, cause, 0
+	if held {
+		w.Ended(t)
+	}
+}
+
+// Report is the worker's report as of now.
+func (w *Worker) Report() *wire.Report {
+	w.Seq++
+	r := &wire.Report{Machine: w.Name, Address: w.Address, Type: w.Type, Zone: w.Zone, Spot: w.Spot,
+		Session: w.Session, Seq: w.Seq, Token: w.Token, NoticeS: w.NoticeS}
+	for _, t := range w.Tasks {
+		r.Tasks = append(r.Tasks, t.TaskReport)
+	}
+	return r
+}
+
+// Answered takes a 200 to the report that was sent at the given time in the given session.
+func (w *Worker) Answered(now, sent clock.Micros, session uint64, a wire.ReportAnswer) (changed bool) {
+	if session != w.Session || a.Token < w.Token || now-sent > 4*clock.Second {
+		return false
+	}
+	changed = a.Token > w.Token
+	w.Token = a.Token
+	w.renewed = max(w.renewed, sent)
+	return w.execute(now, a.Commands) || changed
+}
+
+// Orders takes a direct command and answers 200 or 409.
+func (w *Worker) Orders(now clock.Micros, o wire.Orders) (int, *wire.Report, bool) {
+	if o.Token < w.Token || o.Session != w.Session {
+		return 409, w.Report(), false
+	}
+	changed := o.Token > w.Token
+	w.Token = o.Token
+	changed = w.execute(now, o.Commands) || changed
+	return 200, w.Report(), changed
+}
+
+func (w *Worker) execute(now clock.Micros, cs []wire.Command) bool {
+	changed := false
+	for _, c := range cs {
+		var at *Task
+		i := -1
+		for k, t := range w.Tasks {
+			if t.Task == c.Task && t.Attempt == c.Attempt {
+				at, i = t, k
+			}
+		}
+		switch {
+		case c.Op == wire.Run && at == nil:
+			w.start(now, c)
+			changed = true
+		case c.Op == wire.Forget && at != nil && at.State == wire.Exited:
+			w.Tasks = append(w.Tasks[:i:i], w.Tasks[i+1:]...)
+		case c.Op == wire.Kill && at != nil && at.State != wire.Exited:
+			grace := 0.0
+			if c.GraceS != nil {
+				grace = *c.GraceS
+			}
+			switch {
+			case at.State == wire.Running && at.Job.CheckpointS > 0 && grace >= at.Job.SaveS:
+				at.State, at.until = wire.Saving, now+clock.FromSeconds(at.Job.SaveS)
+			case at.State == wire.Saving && grace > 0:
+			default:
+				w.end(at, wire.CauseStopped)
+			}
+			changed = true
+		}
+	}
+	return changed
+}
+
+func (w *Worker) start(now clock.Micros, c wire.Command) {
+	t := &Task{TaskReport: wire.TaskReport{Task: c.Task, Attempt: c.Attempt, State: wire.Fetching}}
+	w.Tasks = append(w.Tasks, t)
+	ref, idx, _ := strings.Cut(c.Task, "/")
+	n, err := strconv.Atoi(idx)
+	job, ok := w.Find(ref)
+	if err != nil || !ok || n >= job.Tasks {
+		t.State, t.Cause = wire.Exited, wire.CauseUnknown
+		return
+	}
+	t.Job, t.Index = job, n
+	cpus, mem := w.CPUs, w.Memory
+	for _, o := range w.Tasks {
+		if o != t && o.State != wire.Exited {
+			cpus -= o.Job.CPUs
+			mem -= o.Job.MemoryGB
+			if o.Task == t.Task {
+				t.State, t.Cause = wire.Exited, wire.CauseBusy
+				return
+			}
+		}
+	}
+	if job.CPUs > cpus+1e-9 || job.MemoryGB > mem+1e-9 {
+		t.State, t.Cause = wire.Exited, wire.CauseFull
+		return
+	}
+	t.until = now + 1
+	if !w.images[job.Image] {
+		t.until = now + clock.FromSeconds(w.FetchS)
+	}
+}
