--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -661,6 +661,8 @@
 		// The worker's lease ran out: all it had is gone, orders for that session are void.
 	case rc.inflight > 0:
 		return // the order may be carried out yet
+	case rc.state == shown:
+		return // a worker never drops a task by itself within a session
 	case rc.state == ordered && (rc.stop == 0 || !beat):
 		// No direct order is on its way. One in a report's answer is carried out
 		// or dropped before the worker's next report of its own.
