--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -89,12 +89,12 @@
 
 var errDial = errors.New("dial")
 
-// share is this node's part of the store's budget: the leader writes most.
+// share is this node's part of the store's budget: the leader writes most. The
+// parts add up to more than the whole, since bursts seldom meet; see store.Budget.
 func (n *Node) share(leads bool) store.Budget {
-	nodes := float64(len(n.cfg.Peers) + 1)
-	part := 0.9 / (nodes + 1)
-	if leads {
-		part *= 2
+	part := 0.5
+	if leads || len(n.cfg.Peers) == 0 {
+		part = 0.8
 	}
 	s := n.cfg.Facts.State
 	return store.Budget{RPS: s.RPS * part, Puts: s.WriteRPS * part}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -41,9 +41,17 @@
 // ErrMissing says that the key or lease does not exist.
 var ErrMissing = errors.New("not found")
 
-// Budget is a node's part of the state service's limits.
+// Budget is a node's part of the state service's limits. Most of the time the
+// nodes do not all need theirs at once, so the parts may add up to more than the
+// whole: a 429 shrinks the part in use, which then grows back.
 type Budget struct{ RPS, Puts float64 }
 
+const (
+	shrink   = 0.7  // of the budget's use after a 429
+	leastUse = 0.25 // never less of the budget than this
+	growBack = 0.1  // of the budget, each second
+)
+
 type ticket struct {
 	prio, seq, puts int
 	ready           chan struct{}
@@ -73,6 +81,7 @@
 	http, watch *fasthttp.HostClient
 	tickets     chan *ticket
 	budget      chan Budget
+	over        chan struct{} // a 429 came
 	health      func(ok bool)
 }
 
@@ -83,6 +92,7 @@
 		watch:   hostClient(addr, 8),
 		tickets: make(chan *ticket, 256),
 		budget:  make(chan Budget, 4),
+		over:    make(chan struct{}, 16),
 		health:  health,
 	}
 	go c.pace(b)
@@ -104,8 +114,9 @@
 func (c *Client) SetBudget(b Budget) { c.budget <- b }
 
 // pace is the actor that lets requests go within the budget.
-func (c *Client) pace(b Budget) {
+func (c *Client) pace(full Budget) {
 	var q tickets
+	b, use := full, 1.0
 	seq := 0
 	last := time.Now()
 	req, puts := b.RPS/2, b.Puts/2
@@ -117,12 +128,17 @@
 			t.seq = seq
 			seq++
 			heap.Push(&q, t)
-		case b = <-c.budget:
+		case full = <-c.budget:
+		case <-c.over:
+			use = max(leastUse, use*shrink)
+			req, puts = 0, 0
 		case <-timer.C:
 		}
 		now := time.Now()
 		dt := now.Sub(last).Seconds()
 		last = now
+		use = min(1, use+dt*growBack)
+		b = Budget{full.RPS * use, full.Puts * use}
 		req = min(b.RPS, req+dt*b.RPS)
 		puts = min(max(b.Puts, 1), puts+dt*b.Puts)
 		for q.Len() > 0 {
@@ -180,6 +196,12 @@
 		return 0, fmt.Errorf("%w: %w", ErrUnknown, err)
 	}
 	code := res.StatusCode()
+	if code == 429 {
+		select {
+		case c.over <- struct{}{}:
+		default:
+		}
+	}
 	c.health(code != 503)
 	if out != nil && len(res.Body()) > 0 && code != 503 && code != 429 {
 		if err := json.Unmarshal(res.Body(), out); err != nil {
