--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -57,22 +57,26 @@
 	Option
 	Name string
 	Idle bool // up, without a task
-	// Keep says that returning it now saves nothing or is not wanted yet.
-	Keep bool
+	Keep bool // returning it now saves nothing or is not wanted yet
 }
 
 // Params bound the wait that is worth a machine.
 type Params struct{ SpotClearS, OrdinaryClearS float64 }
 
+// keepOrdinary is how far the wish for ordinary machines may fall before those
+// that are there are given up: less would rent and return in turns.
+const keepOrdinary = 1.4
+
 // Order is one rental to make.
 type Order struct {
 	Option
 	Count int
 }
 
-// Plan decides what to rent and which idle machines to return. allowed says
+// Plan decides what to rent, which idle machines to return and which busy
+// ordinary ones to give no more work, so that they can be returned. allowed says
 // whether an option may be asked for now.
-func Plan(needs []Need, supply []Supply, options []Option, p Params, allowed func(Option) bool) (rent []Order, giveBack []string) {
+func Plan(needs []Need, supply []Supply, options []Option, p Params, allowed func(Option) bool) (rent []Order, giveBack, shun []string) {
 	free := make([]float64, len(supply)) // part of each machine not yet spoken for
 	for i := range free {
 		free[i] = 1
@@ -98,12 +102,18 @@
 		}
 		have := 0.0
 		for _, j := range order {
-			if have >= wantSpot {
-				break
-			}
 			s := &supply[j]
+			// An ordinary machine is kept only while the wait without it would be
+			// long; its slots are then worth more than their price.
+			most := wantSpot
+			if !s.Spot {
+				most = min(wantSpot, wantOrdinary*keepOrdinary)
+			}
+			if have >= most {
+				continue
+			}
 			if k := n.Slots(&s.Type, s.Zone, s.Spot); k > 0 && free[j] > 0 {
-				take := min(free[j]*float64(k), wantSpot-have)
+				take := min(free[j]*float64(k), most-have)
 				free[j] -= take / float64(k)
 				have += take
 			}
@@ -138,11 +148,17 @@
 		}
 	}
 	for _, j := range slices.Backward(order) {
-		if s := &supply[j]; s.Idle && !s.Keep && free[j] >= 1-1e-9 {
+		s := &supply[j]
+		if s.Name == "" || s.Keep || free[j] < 1-1e-9 {
+			continue
+		}
+		if s.Idle {
 			giveBack = append(giveBack, s.Name)
+		} else if !s.Spot {
+			shun = append(shun, s.Name)
 		}
 	}
-	return rent, giveBack
+	return rent, giveBack, shun
 }
 
 func boolCmp(a, b bool) int {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -24,16 +24,16 @@
 func TestPlanRentsCheapFirst(t *testing.T) {
 	p := Params{SpotClearS: 20, OrdinaryClearS: 100}
 	need := Need{CPUs: 2, Memory: 1, Spot: true, Tasks: 40, Seconds: 400}
-	rent, _ := Plan([]Need{need}, nil, []Option{ordinary, spot}, p, all)
+	rent, _, _ := Plan([]Need{need}, nil, []Option{ordinary, spot}, p, all)
 	if total(rent, true) != 10 || total(rent, false) != 0 {
 		t.Errorf("rents %v, want 10 spot machines for 20 slots", rent)
 	}
-	rent, _ = Plan([]Need{need}, nil, []Option{ordinary, spot}, p, func(o Option) bool { return !o.Spot })
+	rent, _, _ = Plan([]Need{need}, nil, []Option{ordinary, spot}, p, func(o Option) bool { return !o.Spot })
 	if total(rent, false) != 2 {
 		t.Errorf("rents %v, want 2 ordinary machines for 4 slots", rent)
 	}
 	need.Spot = false
-	rent, _ = Plan([]Need{need}, nil, []Option{ordinary, spot}, p, all)
+	rent, _, _ = Plan([]Need{need}, nil, []Option{ordinary, spot}, p, all)
 	if total(rent, true) != 0 || total(rent, false) != 10 {
 		t.Errorf("rents %v for work that may not use spot machines", rent)
 	}
@@ -43,7 +43,10 @@
 	p := Params{SpotClearS: 20, OrdinaryClearS: 100}
 	supply := []Supply{{Option: ordinary, Name: "o", Idle: true}, {Option: spot, Name: "s", Idle: true},
 		{Option: spot, Name: "k", Idle: true, Keep: true}, {Option: ordinary, Name: "b"}}
-	_, back := Plan([]Need{{CPUs: 4, Spot: true, Tasks: 2, Seconds: 1000}}, supply, nil, p, all)
+	_, back, shun := Plan([]Need{{CPUs: 4, Spot: true, Tasks: 2, Seconds: 1000}}, supply, nil, p, all)
+	if len(shun) != 1 || shun[0] != "b" {
+		t.Errorf("shuns %v, want the busy ordinary machine", shun)
+	}
 	if len(back) != 1 || back[0] != "o" {
 		t.Errorf("returns %v, want only the idle ordinary machine", back)
 	}
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -360,12 +360,17 @@
 	if !l.stirred || now-l.lastSchedule < 30*clock.Millisecond {
 		return
 	}
+	// Until every block's start records are read, a task that waits here may run
+	// in one of them, and the teams' use is not known.
+	if slices.ContainsFunc(l.blocks, func(b *lblock) bool { return !b.known }) {
+		return
+	}
 	l.stirred = false
 	l.lastSchedule = now
 	var ms []*machine
 	for _, name := range slices.Sorted(maps.Keys(l.machines)) {
 		m := l.machines[name]
-		if m.state.Fit && !m.drain && m.state.CPUs > 0 {
+		if m.state.Fit && !m.drain && !m.shun && m.state.CPUs > 0 {
 			if b := l.blockOf(name); b.state == granted && !b.offered {
 				m.cpus, m.gpus, m.mem = m.state.CPUs, m.state.GPUs, m.state.Memory
 				ms = append(ms, m)
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -55,6 +55,7 @@
 	tasks    map[peer.Task]*held
 	offerSeq uint64
 	offered  bool // an offer is not settled yet
+	known    bool // its start records were read in this epoch
 	orders   peer.BlockOrders
 	unstored []peer.Task // told done, not stored yet
 }
@@ -66,6 +67,7 @@
 	born     clock.Micros
 	up       bool
 	booting  bool // by the list
+	shun     bool // not worth new tasks
 	state    peer.MachineState
 	listed   clock.Micros // last seen in the list; 0: never
 	missing  int
@@ -614,7 +616,7 @@
 			}
 		}
 	}
-	b.state = granted
+	b.state, b.known = granted, true
 	var names []string
 	for name := range l.machines {
 		if block.Of(name, len(l.blocks)) == b.id {
--- /dev/null
+++ b/internal/leader/leader_test.go
@@ -0,0 +1,88 @@
+package leader
+
+import (
+	"encoding/json"
+	"testing"
+
+	"swiftledge/internal/block"
+	"swiftledge/internal/clock"
+	"swiftledge/internal/config"
+	"swiftledge/internal/peer"
+	"swiftledge/internal/store"
+	"swiftledge/wire"
+)
+
+func item(t *testing.T, key string, version uint64, v any) wire.Item {
+	t.Helper()
+	raw, err := json.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return wire.Item{Key: key, Value: raw, Version: version}
+}
+
+func offers(fx []any) (n int) {
+	for _, e := range fx {
+		if x, ok := e.(Tell); ok {
+			for _, o := range x.Down.Orders {
+				for _, of := range o.Offers {
+					n += len(of.Indexes)
+				}
+			}
+		}
+	}
+	return n
+}
+
+// A new leader hands out nothing before it has read every block's start
+// records: a task that waits in its books may run in a block not read yet.
+func TestNothingIsOfferedBeforeAllRecordsAreRead(t *testing.T) {
+	cfg := &config.Config{Tuning: config.DefaultTuning()}
+	cfg.Name = "n0"
+	cfg.Facts.InitialSize = 1
+	cfg.Facts.State.TxnOps = 8
+	cfg.Facts.Teams = []config.Team{{Name: "red", CPUs: 8, CPUsMax: 16}}
+	l := New(cfg, func() bool { return true })
+	now := 10 * clock.Second
+	l.Step(now, Elected{Epoch: 5})
+	l.Step(now, Authority{Until: now + 100*clock.Second})
+	l.Step(now, Joined{Node: "n0", Link: "link"})
+	job := wire.Job{Ref: "j-000001", Team: "red", Priority: wire.Standard, Tasks: 2, CPUs: 1, MemoryGB: 1, EstimateS: 10, Spot: true}
+	var names []string
+	for _, n := range []string{"host-000000", "host-000001", "host-000002", "host-000003", "host-000004", "host-000005", "host-000006", "host-000007"} {
+		names = append(names, n)
+	}
+	l.Step(now, Loaded{Epoch: 5, Items: []wire.Item{
+		item(t, LayoutKey, 1, LayoutRecord{Blocks: 2}),
+		item(t, CatalogKey, 1, wire.Catalog{Types: []wire.MachineType{{Name: "small", CPUs: 4, MemoryGB: 8, ZoneNames: []string{"a"}}}}),
+		item(t, JobPrefix+job.Ref, 2, JobRecord{Spec: job}),
+		item(t, FleetPrefix+"r1", 3, FleetRecord{Rental: wire.Rental{Type: "small", Zone: "a"}, Machines: names, Asked: true}),
+	}})
+	fx := l.Step(now, Tick{})
+	for _, e := range fx {
+		if c, ok := e.(Commit); ok {
+			if tag, ok := c.Tag.(blocksTag); ok {
+				l.Step(now, Committed{Epoch: 5, Tag: tag, Outcome: store.Outcome{OK: true, Revision: 9}})
+			}
+		}
+	}
+	up := func(b int) []any {
+		u := peer.BlockUpdate{Block: b, Token: l.blocks[b].token}
+		for _, n := range names {
+			if block.Of(n, 2) == b {
+				u.Machines = append(u.Machines, peer.MachineState{Name: n, Type: "small", Zone: "a", Fit: true, CPUs: 4, Memory: 8})
+			}
+		}
+		now += clock.Second
+		return l.Step(now, Said{Node: "n0", Link: "link", Up: &peer.Up{Epoch: 5, StoreOK: true, Updates: []peer.BlockUpdate{u}}})
+	}
+	l.Step(now, Records{Epoch: 5, Block: 0, Token: l.blocks[0].token})
+	if n := offers(up(0)); n != 0 {
+		t.Fatalf("%d tasks offered while block 1 is not read", n)
+	}
+	l.Step(now, Records{Epoch: 5, Block: 1, Token: l.blocks[1].token, Pages: map[string]peer.RecordPage{"run/001/1-1": {Groups: []peer.RecordGroup{
+		{Job: job.Ref, Team: "red", CPUs: 1, Records: []peer.Record{{Index: 0, Attempt: 1, Machine: names[0]}}}}}}})
+	if n := offers(up(0)); n != 1 {
+		t.Errorf("%d tasks offered, want the one that no record names", n)
+	}
+}
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -384,8 +384,12 @@
 			continue
 		}
 		idle := m.up && m.state.Tasks == 0 && !l.blockOf(name).offered
+		wait := idleFor
+		if !m.opt.Spot {
+			wait = idleFor / 5
+		}
 		supply = append(supply, fleet.Supply{Option: m.opt, Name: name, Idle: idle,
-			Keep: now-m.idle < idleFor || now-m.born < 55*clock.Second})
+			Keep: !m.up || idle && now-m.idle < wait || now-m.born < 55*clock.Second})
 	}
 	for _, rt := range l.rentals {
 		if !rt.rec.Asked {
@@ -400,9 +404,15 @@
 			opts = append(opts, fleet.Option{Type: t, Zone: z}, fleet.Option{Type: t, Zone: z, Spot: true})
 		}
 	}
-	rent, giveBack := fleet.Plan(flat, supply, opts,
+	rent, giveBack, shun := fleet.Plan(flat, supply, opts,
 		fleet.Params{SpotClearS: l.cfg.Tuning.Fleet.SpotClearS, OrdinaryClearS: l.cfg.Tuning.Fleet.OrdinaryClearS},
 		func(o fleet.Option) bool { return now >= l.refused[optionKey(o)] })
+	for _, m := range l.machines {
+		m.shun = false
+	}
+	for _, name := range shun {
+		l.machines[name].shun = true
+	}
 	for _, o := range rent {
 		l.rentSeq++
 		req := fmt.Sprintf("r-%d-%d", l.epoch, l.rentSeq)
