--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -117,7 +117,7 @@
 	t.Grants.TimeS = 30
 	t.Election.TTLS = 5
 	t.Fleet.SpotClearS = 25
-	t.Fleet.OrdinaryClearS = 90
+	t.Fleet.OrdinaryClearS = 200
 	t.Fleet.IdleS = 20
 	t.Fleet.LateFactor = 3
 	return t
