--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -90,35 +90,35 @@
 
 // Leader is the actor's state; it is made anew for each epoch.
 type Leader struct {
-	cfg                                           *config.Config
-	self                                          string
-	epoch                                         uint64
-	run                                           uint64
-	leading                                       bool
-	loaded                                        bool
-	until                                         clock.Micros
-	began                                         clock.Micros
-	tokens                                        uint64
-	blocks                                        []*lblock
-	nodes                                         map[string]*node
-	jobs                                          map[string]*job
-	usage                                         map[string]*use
-	machines                                      map[string]*machine
-	rentals                                       map[string]*rental
-	gone                                          map[string]bool
-	types                                         map[string]wire.MachineType
-	typeList                                      []wire.MachineType
-	refused                                       map[string]clock.Micros // by option, until when not to ask again
-	classes                                       map[string]*classStat
-	rentSeq                                       int
-	found                                         map[string]wire.Machine
-	lastList, lastCounts, lastFleet, lastSchedule clock.Micros
-	listing, deleting                             bool
-	catalogAt                                     clock.Micros
-	stirred                                       bool
-	counts                                        map[string]peer.TaskCount
-	fx                                            []any
-	storeOK                                       func() bool
+	cfg                                                      *config.Config
+	self                                                     string
+	epoch                                                    uint64
+	run                                                      uint64
+	leading                                                  bool
+	loaded                                                   bool
+	until                                                    clock.Micros
+	began                                                    clock.Micros
+	tokens                                                   uint64
+	blocks                                                   []*lblock
+	nodes                                                    map[string]*node
+	jobs                                                     map[string]*job
+	usage                                                    map[string]*use
+	machines                                                 map[string]*machine
+	rentals                                                  map[string]*rental
+	gone                                                     map[string]bool
+	types                                                    map[string]wire.MachineType
+	typeList                                                 []wire.MachineType
+	refused                                                  map[string]clock.Micros // by option, until when not to ask again
+	classes                                                  map[string]*classStat
+	rentSeq                                                  int
+	found                                                    map[string]wire.Machine
+	lastList, lastCounts, lastState, lastFleet, lastSchedule clock.Micros
+	listing, deleting                                        bool
+	catalogAt                                                clock.Micros
+	stirred                                                  bool
+	counts                                                   map[string]peer.TaskCount
+	fx                                                       []any
+	storeOK                                                  func() bool
 }
 
 type use struct{ cpus, gpus float64 }
@@ -444,9 +444,41 @@
 		l.lastCounts = now
 		l.tellCounts()
 	}
+	if now-l.lastState >= 10*clock.Second {
+		l.lastState = now
+		l.logState()
+	}
 	l.tendFleet(now)
 }
 
+// logState sums up queues and room for whoever reads a debug log.
+func (l *Leader) logState() {
+	waiting, room, fit, full := 0, 0.0, 0, 0
+	blocked := 0
+	for _, j := range l.jobs {
+		waiting += len(j.waiting)
+		team, _ := l.cfg.Team(j.rec.Spec.Team)
+		if u := l.usage[team.Name]; u != nil && u.cpus+j.rec.Spec.CPUs > team.CPUsMax+1e-9 {
+			blocked += len(j.waiting)
+		}
+	}
+	for _, m := range l.machines {
+		if m.state.Fit && !m.drain && !m.shun {
+			fit++
+			room += m.state.CPUs
+		}
+	}
+	used := 0.0
+	for name, u := range l.usage {
+		used += u.cpus
+		if team, _ := l.cfg.Team(name); u.cpus > team.CPUsMax-1 {
+			full++
+		}
+	}
+	l.emit(Log{Debug: true, Text: "state", Args: []any{"jobs", len(l.jobs), "waiting", waiting, "waiting_at_limit", blocked,
+		"teams_at_limit", full, "cpus_held", used, "cpus_free", room, "machines", len(l.machines), "fit", fit}})
+}
+
 // assign finds holders for blocks that have none, and evens out.
 func (l *Leader) assign(now clock.Micros) {
 	for _, n := range l.nodes {
