--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -412,8 +412,14 @@
 			q := teams[name]
 			for len(q) > 0 {
 				s := &q[0].j.rec.Spec
-				if len(q[0].j.waiting) > 0 && u.cpus+s.CPUs <= team.CPUsMax+1e-9 && u.gpus+s.GPUs <= team.GPUsMax+1e-9 {
-					break
+				if len(q[0].j.waiting) > 0 {
+					if u.cpus+s.CPUs <= team.CPUsMax+1e-9 && u.gpus+s.GPUs <= team.GPUsMax+1e-9 {
+						break
+					}
+					// What the limit holds back must not be passed by smaller tasks of
+					// less important jobs, which would take every bit of room that comes free.
+					q = slices.DeleteFunc(q[1:], func(o queued) bool { return o.rank > q[0].rank })
+					continue
 				}
 				q = q[1:]
 			}
