Queue by what can still be in time, classes' objectives as deadlines

Cause: long catalogue backlogs of a team at its limit kept jobs waiting that could still have been in time.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -16,6 +16,7 @@
 	"github.com/gofiber/fiber/v3"
 
 	"swiftledge/internal/block"
+	"swiftledge/internal/clock"
 	"swiftledge/internal/config"
 	"swiftledge/wire"
 )
@@ -30,13 +31,14 @@
 	desk    *Desk
 	storeOK func() bool
 	report  func(*wire.Report) block.Answer
+	wall    func() clock.Micros // time of day
 	log     *slog.Logger
 	form    formChecker
 }
 
 // New makes the service; report answers a worker.
-func New(cfg *config.Config, s Store, pause func(context.Context, int) bool, d *Desk, storeOK func() bool, report func(*wire.Report) block.Answer, log *slog.Logger) *Service {
-	return &Service{cfg: cfg, store: s, pause: pause, desk: d, storeOK: storeOK, report: report, log: log, form: newFormChecker()}
+func New(cfg *config.Config, s Store, pause func(context.Context, int) bool, d *Desk, storeOK func() bool, report func(*wire.Report) block.Answer, wall func() clock.Micros, log *slog.Logger) *Service {
+	return &Service{cfg: cfg, store: s, pause: pause, desk: d, storeOK: storeOK, report: report, wall: wall, log: log, form: newFormChecker()}
 }
 
 // Serve answers on l until it fails.
--- a/internal/api/jobs.go
+++ b/internal/api/jobs.go
@@ -12,7 +12,6 @@
 
 	"github.com/go-playground/validator/v10"
 
-	"swiftledge/internal/clock"
 	"swiftledge/internal/leader"
 	"swiftledge/internal/store"
 	"swiftledge/wire"
@@ -96,7 +95,7 @@
 	if why := s.impossible(&job, types); why != "" {
 		return s.known(job.Ref, refuse(422, why))
 	}
-	raw, err := json.Marshal(leader.JobRecord{Spec: job, At: clock.Wall()})
+	raw, err := json.Marshal(leader.JobRecord{Spec: job, At: s.wall()})
 	if err != nil {
 		return refuse(400, err.Error())
 	}
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -1,7 +1,6 @@
 package leader
 
 import (
-	"cmp"
 	"encoding/json"
 	"maps"
 	"math"
@@ -340,18 +339,35 @@
 	return est + 1
 }
 
-// slackKey orders jobs of one priority: by the latest start that still meets the deadline, then by submission.
-func (l *Leader) slackKey(j *job) clock.Micros {
-	if j.rec.Spec.DeadlineS == nil {
-		return j.rec.At + 600*clock.Second
-	}
-	return j.rec.At + clock.FromSeconds(*j.rec.Spec.DeadlineS-l.remaining(j))
+// queueKey orders a team's jobs: those that can still be in time before those
+// that cannot, then by priority, then by the latest start that is in time, then
+// by submission. A job without a deadline of its own has that of its class's
+// objective.
+func (l *Leader) queueKey(now clock.Micros, j *job) [4]float64 {
+	s := &j.rec.Spec
+	due := math.Inf(1)
+	if s.DeadlineS != nil {
+		due = *s.DeadlineS
+	} else if o, ok := l.within[s.Class]; ok {
+		due = o
+	}
+	age := (now + l.wall - j.rec.At).Seconds()
+	// The least time in which the rest can be done within the team's limit.
+	need := l.remaining(j)
+	if team, ok := l.cfg.Team(s.Team); ok && team.CPUsMax > 0 {
+		need = max(need, float64(s.Tasks-j.nDone)*s.CPUs*l.remaining(j)/team.CPUsMax)
+	}
+	late := 0.0
+	if rank := wire.Rank(s.Priority); rank >= wire.Rank(wire.Standard) && age+need > due {
+		late = 1
+	}
+	return [4]float64{late, float64(wire.Rank(s.Priority)), due - age - need, -age}
 }
 
 type queued struct {
-	j     *job
-	rank  int
-	slack clock.Micros
+	j    *job
+	rank int
+	key  [4]float64
 }
 
 // schedule hands waiting tasks to blocks with room: teams in turn by their
@@ -385,13 +401,13 @@
 		j := l.jobs[ref]
 		if len(j.waiting) > 0 && now >= j.notBefore && !j.cancelled {
 			t := j.rec.Spec.Team
-			teams[t] = append(teams[t], queued{j, wire.Rank(j.rec.Spec.Priority), l.slackKey(j)})
+			teams[t] = append(teams[t], queued{j, wire.Rank(j.rec.Spec.Priority), l.queueKey(now, j)})
 		}
 	}
 	names := slices.Sorted(maps.Keys(teams))
 	for _, q := range teams {
 		slices.SortStableFunc(q, func(a, b queued) int {
-			return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.slack, b.slack))
+			return slices.Compare(a.key[:], b.key[:])
 		})
 	}
 	type offerKey struct {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -119,6 +119,8 @@
 	counts                                                   map[string]peer.TaskCount
 	fx                                                       []any
 	storeOK                                                  func() bool
+	wall                                                     clock.Micros       // the time of day less the steady clock
+	within                                                   map[string]float64 // by class: in how many seconds its jobs are expected done
 }
 
 type use struct{ cpus, gpus float64 }
@@ -137,7 +139,13 @@
 }
 
 func (l *Leader) reset() {
-	*l = Leader{cfg: l.cfg, self: l.self, storeOK: l.storeOK, nodes: map[string]*node{}, jobs: map[string]*job{}, usage: map[string]*use{},
+	within := map[string]float64{}
+	for _, o := range l.cfg.Facts.Objectives {
+		if o.Kind == "finished" {
+			within[o.Class] = o.WithinS
+		}
+	}
+	*l = Leader{cfg: l.cfg, within: within, self: l.self, storeOK: l.storeOK, nodes: map[string]*node{}, jobs: map[string]*job{}, usage: map[string]*use{},
 		machines: map[string]*machine{}, rentals: map[string]*rental{}, gone: map[string]bool{}, types: map[string]wire.MachineType{},
 		refused: map[string]clock.Micros{}, classes: map[string]*classStat{}, found: map[string]wire.Machine{}, counts: map[string]peer.TaskCount{}}
 }
@@ -246,6 +254,7 @@
 }
 
 func (l *Leader) load(now clock.Micros, m Loaded) {
+	l.wall = m.Wall - now
 	n := l.cfg.Tuning.Grants.Blocks
 	haveLayout := false
 	stamps := map[string]uint64{}
--- a/internal/leader/messages.go
+++ b/internal/leader/messages.go
@@ -75,6 +75,7 @@
 		Epoch    uint64
 		Items    []wire.Item
 		Revision uint64
+		Wall     clock.Micros // time of day
 	}
 	// Joined is a new link to a controller, maybe to ourselves.
 	Joined struct {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -117,7 +117,7 @@
 	go n.watchLeader(ctx)
 	go n.acceptPeers(back)
 	go n.desk.Run(ctx)
-	svc := api.New(n.cfg, n.store, store.Pause, n.desk, n.health.ok, n.report, n.log)
+	svc := api.New(n.cfg, n.store, store.Pause, n.desk, n.health.ok, n.report, clock.Wall, n.log)
 	n.log.Info("serving", "node", n.cfg.Name, "on", n.cfg.ServeOn)
 	return svc.Serve(front)
 }
@@ -554,7 +554,7 @@
 			all = append(all, items...)
 		}
 		if err == nil {
-			n.leader <- leader.Loaded{Epoch: epoch, Items: all, Revision: rev}
+			n.leader <- leader.Loaded{Epoch: epoch, Items: all, Revision: rev, Wall: clock.Wall()}
 			n.watchJobs(ctx, epoch, rev)
 			return
 		}
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -366,7 +366,7 @@
 		placement.Params{K: t.K, Eta: t.Eta, Epsilon: t.Epsilon, Small: t.Small}, ok)
 	n.desk = api.NewDesk(&n.cfg, clock.NewSteady())
 	go n.desk.Run(n.w.ctx)
-	n.svc = api.New(&n.cfg, n, func(_ context.Context, try int) bool { return try < 3 }, n.desk, ok, nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	n.svc = api.New(&n.cfg, n, func(_ context.Context, try int) bool { return try < 3 }, n.desk, ok, nil, func() clock.Micros { return n.w.now }, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	n.look()
 }
 
@@ -793,7 +793,7 @@
 			return
 		}
 		n.jobEpoch, n.jobRev = epoch, rev
-		n.leaderStep(leader.Loaded{Epoch: epoch, Items: items, Revision: rev})
+		n.leaderStep(leader.Loaded{Epoch: epoch, Items: items, Revision: rev, Wall: n.w.now})
 	})
 }
 
