--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -173,10 +173,14 @@
 
 func unit(o Option) float64 { return o.Price() / max(o.Type.CPUs, 1e-6) }
 
+// usedFor is how long a rented machine is taken to be used when its boot time,
+// which is paid for too, is spread over its price.
+const usedFor = 120
+
 func perSlot(n *Need, o Option) float64 {
 	k := n.Slots(&o.Type, o.Zone, o.Spot)
 	if k == 0 {
 		return math.Inf(1)
 	}
-	return o.Price() / float64(k)
+	return o.Price() / float64(k) * (1 + o.Type.BootS/usedFor)
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -116,6 +116,9 @@
 // out. It takes the room off the machines and returns the matches; tasks go in
 // the order of the groups.
 func Cycle(groups []*Group, machines []*Machine, b *Book, p Params, now clock.Micros) []Match {
+	if len(machines) == 0 {
+		return nil // room that was offered may be gone by now; an auction without seats never ends
+	}
 	var tasks []bidder
 	for _, g := range groups {
 		for _, i := range g.Indexes {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -143,3 +143,10 @@
 		t.Errorf("%d machines listed, want the %d latest", n, visits)
 	}
 }
+
+func TestCycleWithoutMachinesEnds(t *testing.T) {
+	g := &Group{Key: "a", Indexes: []int{0}, Image: "x", CPUs: 2}
+	if got := Cycle([]*Group{g}, nil, NewBook(), params, 0); len(got) != 0 {
+		t.Errorf("%d tasks placed on no machine", len(got))
+	}
+}
