--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -127,7 +127,7 @@
 			return
 		}
 		l.addJob(r, e.Version).fillWaiting()
-		l.stirred = true
+		l.stirred, l.urgent = true, true
 		return
 	}
 	// Only an abort deletes a job's key without the leader's doing.
@@ -370,10 +370,14 @@
 	key  [4]float64
 }
 
+// gather is how long room that comes free is collected before it is offered, so
+// that one start record serves several tasks. New jobs do not wait for it.
+const gather = 120 * clock.Millisecond
+
 // schedule hands waiting tasks to blocks with room: teams in turn by their
 // shares, guarantees first.
 func (l *Leader) schedule(now clock.Micros) {
-	if !l.stirred || now-l.lastSchedule < 30*clock.Millisecond {
+	if !l.stirred || !l.urgent && now-l.lastSchedule < gather {
 		return
 	}
 	// Until every block's start records are read, a task that waits here may run
@@ -381,7 +385,7 @@
 	if slices.ContainsFunc(l.blocks, func(b *lblock) bool { return !b.known }) {
 		return
 	}
-	l.stirred = false
+	l.stirred, l.urgent = false, false
 	l.lastSchedule = now
 	var ms []*machine
 	for _, name := range slices.Sorted(maps.Keys(l.machines)) {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -115,7 +115,8 @@
 	lastList, lastCounts, lastState, lastFleet, lastSchedule clock.Micros
 	listing, deleting                                        bool
 	catalogAt                                                clock.Micros
-	stirred                                                  bool
+	stirred                                                  bool // something changed that may let tasks start
+	urgent                                                   bool // a job has come
 	counts                                                   map[string]peer.TaskCount
 	fx                                                       []any
 	storeOK                                                  func() bool
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -147,7 +147,7 @@
 
 func (n *Node) runElector(ctx context.Context) {
 	e := election.New(election.Record{Node: n.cfg.Name, Run: n.run}, clock.FromSeconds(n.cfg.Tuning.Election.TTLS))
-	go n.tick(ctx, n.elector, 150*time.Millisecond, election.Tick{})
+	go n.tick(ctx, n.elector, 250*time.Millisecond, election.Tick{})
 	for msg := range n.elector {
 		if q, ok := msg.(askEpoch); ok {
 			q.answer <- e.Epoch()
@@ -326,7 +326,7 @@
 		ReportTime: clock.FromSeconds(n.cfg.Facts.Workers.ReportS),
 		ValueBytes: int(n.cfg.Facts.State.ValueKB * 1024 * 0.9), TxnOps: n.cfg.Facts.State.TxnOps},
 		placement.Params{K: t.K, Eta: t.Eta, Epsilon: t.Epsilon, Small: t.Small}, n.health.ok)
-	go n.tick(ctx, n.holder, 100*time.Millisecond, block.Tick{})
+	go n.tick(ctx, n.holder, 200*time.Millisecond, block.Tick{})
 	var link any
 	for msg := range n.holder {
 		switch m := msg.(type) {
@@ -444,7 +444,7 @@
 
 func (n *Node) runLeader(ctx context.Context) {
 	l := leader.New(n.cfg, n.health.ok)
-	go n.tick(ctx, n.leader, 100*time.Millisecond, leader.Tick{})
+	go n.tick(ctx, n.leader, 200*time.Millisecond, leader.Tick{})
 	// What an epoch has under way ends with it.
 	ep := newEpoch(ctx)
 	for msg := range n.leader {
