--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -54,6 +54,7 @@
 	notice, known, drain     bool
 	gone, lost, dirty        bool
 	wasFit, silent           bool
+	fenced                   clock.Micros // when it was last shown our token directly
 	recs                     map[recKey]*rec
 }
 
@@ -123,6 +124,8 @@
 		h.report(now, m)
 	case Ordered:
 		h.answered(now, m)
+	case Inspected:
+		h.inspected(now, m)
 	case Recorded:
 		h.recorded(now, m)
 	case Tick:
@@ -189,8 +192,12 @@
 		}
 		b.expires = old.expires
 	}
-	for _, name := range g.Machines {
-		b.machine(name).known = true
+	for _, r := range g.Machines {
+		m := b.machine(r.Name)
+		m.known = true
+		if m.address == "" {
+			m.address = r.Address
+		}
 	}
 	type ended struct {
 		m *machine
@@ -227,6 +234,41 @@
 	}
 	h.blocks[g.Block] = b
 	b.tell = true
+	for _, r := range g.Machines {
+		h.fence(now, b, b.machines[r.Name])
+	}
+}
+
+// fence shows a machine our token without waiting for its report, which an older
+// holder that is cut off from the others may go on answering until its grant ends.
+// That holder turns the worker away as soon as it reports the newer token.
+func (h *Holder) fence(now clock.Micros, b *blk, m *machine) {
+	if m.address == "" || m.gone {
+		return
+	}
+	m.fenced = now
+	if m.session > 0 {
+		h.direct(b, m, []wire.Command{})
+		return
+	}
+	h.emit(Inspect{Block: b.id, Token: b.token, Machine: m.name, Address: m.address})
+}
+
+func (h *Holder) inspected(now clock.Micros, a Inspected) {
+	b := h.blocks[a.Block]
+	if b == nil || b.token != a.Token || a.R == nil {
+		return
+	}
+	m := b.machines[a.Machine]
+	if m == nil || m.gone || m.shown {
+		return
+	}
+	if a.R.Token > b.token {
+		h.void(b)
+		return
+	}
+	h.observe(now, b, m, a.R, false)
+	h.direct(b, m, []wire.Command{})
 }
 
 func (b *blk) machine(name string) *machine {
@@ -740,6 +782,9 @@
 					}
 				}
 			}
+			if !m.shown && !m.lost && m.fenced > 0 && now-m.fenced > 4*clock.Second {
+				h.fence(now, b, m)
+			}
 			if m.gone && len(m.recs) == 0 && now-m.heard > 10*60*clock.Second {
 				delete(b.machines, name)
 			}
--- a/internal/block/holder_test.go
+++ b/internal/block/holder_test.go
@@ -23,7 +23,7 @@
 	page := peer.RecordPage{Groups: []peer.RecordGroup{{Job: task.Job, Team: "red", CPUs: 1,
 		Records: []peer.Record{{Index: 3, Attempt: 1, Machine: "m1"}, {Index: 3, Attempt: 2, Machine: "m2"}}}}}
 	h.Step(now, &peer.Down{Epoch: 9, Holders: []string{"n0"}, Types: []wire.MachineType{{Name: "small", CPUs: 4, MemoryGB: 8}},
-		Grants: []peer.Grant{{Block: 0, Token: 50, Stamp: 7, Machines: []string{"m1", "m2"}, Pages: map[string]peer.RecordPage{"run/000/1-1": page}}}})
+		Grants: []peer.Grant{{Block: 0, Token: 50, Stamp: 7, Machines: []peer.RosterMachine{{Name: "m1", Address: "a1"}, {Name: "m2"}}, Pages: map[string]peer.RecordPage{"run/000/1-1": page}}}})
 	h.Step(now, &peer.Down{Epoch: 9, Renewed: h.renew, Tokens: map[int]uint64{0: 50}})
 	return h
 }
@@ -122,3 +122,28 @@
 		t.Errorf("commands %v, want forget", a.Body.Commands)
 	}
 }
+
+// A new holder shows its token to the machines at once: an older holder that is
+// cut off may answer their reports until its grant ends.
+func TestFencesByItself(t *testing.T) {
+	h := holding(t)
+	r := beat("m1", 1, 49, running(1)).R
+	fx := h.Step(now, Inspected{Inspect: Inspect{Block: 0, Token: 50, Machine: "m1"}, R: r})
+	sent := false
+	for _, e := range fx {
+		if o, ok := e.(Orders); ok && o.Body.Token == 50 && o.Body.Session == 1 && len(o.Body.Commands) == 0 {
+			sent = true
+		}
+	}
+	if !sent {
+		t.Fatalf("effects %+v, want our token sent to m1", fx)
+	}
+	after := beat("m1", 2, 50, running(1)).R
+	h.Step(now, Ordered{Orders: Orders{Block: 0, Machine: "m1", Body: wire.Orders{Token: 50, Session: 1}}, Status: 200, R: after})
+	if !h.blocks[0].machines["m1"].shown {
+		t.Error("m1 is not taken as fenced after it showed our token")
+	}
+	if h.Step(now, Inspected{Inspect: Inspect{Block: 0, Token: 50, Machine: "m2"}, R: beat("m2", 1, 51).R}); h.blocks[0] != nil {
+		t.Error("keeps a block whose machine shows a newer token")
+	}
+}
--- a/internal/block/messages.go
+++ b/internal/block/messages.go
@@ -48,6 +48,11 @@
 		Status int
 		R      *wire.Report
 	}
+	// Inspected is the end of an Inspect; R is nil without an answer.
+	Inspected struct {
+		Inspect
+		R *wire.Report
+	}
 	// Recorded is the end of a start record's write.
 	Recorded struct {
 		Block  int
@@ -78,6 +83,13 @@
 		Address string
 		Body    wire.Orders
 	}
+	// Inspect asks a worker for its report.
+	Inspect struct {
+		Block   int
+		Token   uint64
+		Machine string
+		Address string
+	}
 	// Record is a start record to write before its tasks are ordered.
 	Record struct {
 		Block int
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -65,6 +65,7 @@
 	rental   string
 	opt      fleet.Option
 	born     clock.Micros
+	address  string
 	up       bool
 	booting  bool // by the list
 	shun     bool // not worth new tasks
@@ -669,12 +670,15 @@
 		}
 	}
 	slices.Sort(names)
+	var roster []peer.RosterMachine
 	for _, name := range names {
-		l.machines[name].state.Fit = false
+		mc := l.machines[name]
+		mc.state.Fit = false
+		roster = append(roster, peer.RosterMachine{Name: name, Address: mc.address})
 	}
 	// A controller that linked up before the epoch was loaded knows no types yet.
 	l.emit(Tell{b.link, peer.Down{Epoch: l.epoch, Holders: l.holders(), Types: l.typeList,
-		Grants: []peer.Grant{{Block: b.id, Token: b.token, Stamp: b.stamp, Pages: m.Pages, Machines: names}}}})
+		Grants: []peer.Grant{{Block: b.id, Token: b.token, Stamp: b.stamp, Pages: m.Pages, Machines: roster}}}})
 	for _, n := range l.nodes {
 		if n.link != b.link {
 			l.emit(Tell{n.link, peer.Down{Epoch: l.epoch, Holders: l.holders(), Types: l.typeList}})
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -66,6 +66,7 @@
 		return // known by name only, not heard yet
 	}
 	m.up = true
+	m.address = s.Address
 	if s.Tasks > 0 || m.state.Tasks > 0 {
 		m.idle = now
 	}
@@ -107,7 +108,7 @@
 		if m.listed == 0 {
 			m.born = min(m.born, now-clock.FromSeconds(w.AgeS))
 		}
-		m.listed, m.missing = now, 0
+		m.listed, m.missing, m.address = now, 0, w.Address
 		m.booting = w.State == wire.Starting
 		if w.State == wire.Failed {
 			m.missing = 1000
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -362,6 +362,8 @@
 		x.Tag.(chan block.Answer) <- x
 	case block.Orders:
 		go n.direct(x)
+	case block.Inspect:
+		go n.inspect(x)
 	case block.Record:
 		go n.record(ctx, x)
 	case block.Erase:
@@ -408,6 +410,19 @@
 	n.holder <- done
 }
 
+// inspect asks a worker for its report.
+func (n *Node) inspect(x block.Inspect) {
+	n.directs <- struct{}{}
+	defer func() { <-n.directs }()
+	done := block.Inspected{Inspect: x}
+	status, body, err := n.workers.GetTimeout(nil, "http://"+x.Address+"/inspect", 2*time.Second)
+	var r wire.Report
+	if err == nil && status == 200 && json.Unmarshal(body, &r) == nil && r.Machine == x.Machine {
+		done.R = &r
+	}
+	n.holder <- done
+}
+
 // record writes a start record; no task of it is ordered before the store has said yes.
 func (n *Node) record(ctx context.Context, r block.Record) {
 	ctx, cancel := context.WithTimeout(ctx, 8*time.Second)
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -44,13 +44,16 @@
 	Groups []RecordGroup `json:"g"`
 }
 
+// RosterMachine is a machine of the durable roster; Address is "" while unknown.
+type RosterMachine struct{ Name, Address string }
+
 // Grant hands a block of machines to a controller.
 type Grant struct {
 	Block    int
 	Token    uint64
 	Stamp    uint64 // version of the block's key, which guards start records
 	Pages    map[string]RecordPage
-	Machines []string // those the roster knows
+	Machines []RosterMachine
 }
 
 // Offer hands tasks of one job to a block.
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -661,6 +661,8 @@
 		x.Tag.(func(block.Answer))(x)
 	case block.Orders:
 		n.direct(x)
+	case block.Inspect:
+		n.inspect(x)
 	case block.Record:
 		raw, err := json.Marshal(x.Page)
 		must(err)
@@ -684,6 +686,20 @@
 	}
 }
 
+func (n *simNode) inspect(x block.Inspect) {
+	s := n.w.worker(x.Machine)
+	if s == nil || s.dead || n.blind || s.cut {
+		return
+	}
+	s.deliver(n.w, func() {
+		if s.dead {
+			return
+		}
+		r := s.Report()
+		s.deliver(n.w, n.still(func() { n.holderStep(block.Inspected{Inspect: x, R: r}) }))
+	})
+}
+
 func (n *simNode) direct(o block.Orders) {
 	w := n.w
 	s := w.worker(o.Machine)
