--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -115,7 +115,7 @@
 	t.Placement.CycleS = 2
 	t.Grants.Blocks = 6
 	t.Grants.TimeS = 30
-	t.Election.TTLS = 5
+	t.Election.TTLS = 3
 	t.Fleet.SpotClearS = 25
 	t.Fleet.OrdinaryClearS = 200
 	t.Fleet.IdleS = 20
