--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -361,7 +361,11 @@
 	if rank := wire.Rank(s.Priority); rank >= wire.Rank(wire.Standard) && age+need > due {
 		late = 1
 	}
-	return [4]float64{late, float64(wire.Rank(s.Priority)), due - age - need, -age}
+	third := due - age - need
+	if s.DeadlineS == nil {
+		third = need
+	}
+	return [4]float64{late, float64(wire.Rank(s.Priority)), third, -age}
 }
 
 type queued struct {
