--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -33,7 +33,8 @@
 	waiting   []int32
 	out       map[int]int // tasks in blocks' grants, and in how many
 	cancelled bool
-	saving    bool
+	saving    bool // a write of it is under way
+	ending    bool // the write of its end is
 	savedAt   clock.Micros
 	pin       string // zone of a job that must stay together
 	okay      bool   // one of its tasks has completed
@@ -130,8 +131,10 @@
 		l.stirred, l.urgent = true, true
 		return
 	}
-	// Only an abort deletes a job's key without the leader's doing.
-	if j := l.jobs[strings.TrimPrefix(e.Delete, JobPrefix)]; j != nil && !j.saving {
+	// Only an abort deletes a job's key without the leader's doing. While the end is
+	// being written, its outcome tells which of the two it was; a progress write
+	// under way must not hide an abort.
+	if j := l.jobs[strings.TrimPrefix(e.Delete, JobPrefix)]; j != nil && !j.ending {
 		l.cancel(j)
 	}
 }
@@ -199,7 +202,7 @@
 	}
 	ref := j.rec.Spec.Ref
 	if j.nDone == j.rec.Spec.Tasks {
-		j.saving = true
+		j.saving, j.ending = true, true
 		l.commit(store.Starts, persistTag{ref: ref, final: true}, []wire.Guard{{Key: JobPrefix + ref, Version: j.stamp}},
 			[]wire.Write{put(EndPrefix+ref, EndRecord{State: wire.Done, Tasks: j.nDone}), {Delete: JobPrefix + ref}})
 		return
@@ -208,7 +211,7 @@
 		return
 	}
 	tag := persistTag{ref: ref}
-	var guards []wire.Guard
+	guards := []wire.Guard{{Key: JobPrefix + ref, Version: j.stamp}}
 	var writes []wire.Write
 	for c := range j.chunks {
 		ch := &j.chunks[c]
@@ -242,10 +245,14 @@
 			// A user's abort came first, or an earlier copy of this write did.
 			l.emit(ReadKey{l.epoch, EndPrefix + tag.ref, tag})
 		default:
-			j.saving = false
+			j.saving, j.ending = false, false
 		}
 		return
 	}
+	if m.Outcome.FailedOn(JobPrefix + tag.ref) {
+		l.cancel(j)
+		return
+	}
 	if m.Outcome.OK {
 		for i, c := range tag.chunks {
 			j.chunks[c].stamp = m.Outcome.Revision
@@ -274,7 +281,7 @@
 	if j == nil {
 		return
 	}
-	j.saving = false
+	j.saving, j.ending = false, false
 	if tag.final {
 		var r EndRecord
 		if m.Found && json.Unmarshal(m.Item.Value, &r) == nil {
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -34,25 +34,31 @@
 	return n
 }
 
-// A new leader hands out nothing before it has read every block's start
-// records: a task that waits in its books may run in a block not read yet.
-func TestNothingIsOfferedBeforeAllRecordsAreRead(t *testing.T) {
+const began = 10 * clock.Second
+
+var (
+	spec  = wire.Job{Ref: "j-000001", Team: "red", Priority: wire.Standard, Tasks: 2, CPUs: 1, MemoryGB: 1, EstimateS: 10, Spot: true}
+	names = []string{"host-000000", "host-000001", "host-000002", "host-000003", "host-000004", "host-000005"}
+)
+
+// leading makes a leader of two blocks, both held by n0, whose start records are
+// not read yet.
+func leading(t *testing.T) *Leader {
+	t.Helper()
 	cfg := &config.Config{Tuning: config.DefaultTuning()}
 	cfg.Name = "n0"
 	cfg.Facts.InitialSize = 1
 	cfg.Facts.State.TxnOps = 8
 	cfg.Facts.Teams = []config.Team{{Name: "red", CPUs: 8, CPUsMax: 16}}
 	l := New(cfg, func() bool { return true })
-	now := 10 * clock.Second
+	now := began
 	l.Step(now, Elected{Epoch: 5})
 	l.Step(now, Authority{Until: now + 100*clock.Second})
 	l.Step(now, Joined{Node: "n0", Link: "link"})
-	job := wire.Job{Ref: "j-000001", Team: "red", Priority: wire.Standard, Tasks: 2, CPUs: 1, MemoryGB: 1, EstimateS: 10, Spot: true}
-	names := []string{"host-000000", "host-000001", "host-000002", "host-000003", "host-000004", "host-000005"}
 	l.Step(now, Loaded{Epoch: 5, Items: []wire.Item{
 		item(t, LayoutKey, 1, LayoutRecord{Blocks: 2}),
 		item(t, CatalogKey, 1, wire.Catalog{Types: []wire.MachineType{{Name: "small", CPUs: 4, MemoryGB: 8, ZoneNames: []string{"a"}}}}),
-		item(t, JobPrefix+job.Ref, 2, JobRecord{Spec: job}),
+		item(t, JobPrefix+spec.Ref, 2, JobRecord{Spec: spec}),
 		item(t, FleetPrefix+"r1", 3, FleetRecord{Rental: wire.Rental{Type: "small", Zone: "a"}, Machines: names, Asked: true}),
 	}})
 	fx := l.Step(now, Tick{})
@@ -63,6 +69,14 @@
 			}
 		}
 	}
+	return l
+}
+
+// A new leader hands out nothing before it has read every block's start
+// records: a task that waits in its books may run in a block not read yet.
+func TestNothingIsOfferedBeforeAllRecordsAreRead(t *testing.T) {
+	l := leading(t)
+	now := began
 	up := func(b int) []any {
 		u := peer.BlockUpdate{Block: b, Token: l.blocks[b].token}
 		for _, n := range names {
@@ -77,9 +91,41 @@
 	if n := offers(up(0)); n != 0 {
 		t.Fatalf("%d tasks offered while block 1 is not read", n)
 	}
-	fx = l.Step(now, Records{Epoch: 5, Block: 1, Token: l.blocks[1].token, Pages: map[string]peer.RecordPage{"run/001/1-1": {Groups: []peer.RecordGroup{
-		{Job: job.Ref, Team: "red", CPUs: 1, Records: []peer.Record{{Index: 0, Attempt: 1, Machine: names[0]}}}}}}})
+	fx := l.Step(now, Records{Epoch: 5, Block: 1, Token: l.blocks[1].token, Pages: map[string]peer.RecordPage{"run/001/1-1": {Groups: []peer.RecordGroup{
+		{Job: spec.Ref, Team: "red", CPUs: 1, Records: []peer.Record{{Index: 0, Attempt: 1, Machine: names[0]}}}}}}})
 	if n := offers(fx); n != 1 {
 		t.Errorf("%d tasks offered, want the one that no record names", n)
 	}
 }
+
+// An abort that is seen while a progress write is under way stops the tasks.
+func TestAbortDuringProgressWrite(t *testing.T) {
+	l := leading(t)
+	page := peer.RecordPage{Groups: []peer.RecordGroup{{Job: spec.Ref, Team: "red", CPUs: 1, Records: []peer.Record{
+		{Index: 0, Attempt: 1, Machine: names[0]}, {Index: 1, Attempt: 2, Machine: names[0]}}}}}
+	b := block.Of(names[0], 2)
+	l.Step(began, Records{Epoch: 5, Block: b, Token: l.blocks[b].token, Pages: map[string]peer.RecordPage{"p": page}})
+	l.Step(began, Records{Epoch: 5, Block: 1 - b, Token: l.blocks[1-b].token})
+	fx := l.Step(began, Said{Node: "n0", Link: "link", Up: &peer.Up{Epoch: 5, Updates: []peer.BlockUpdate{{Block: b, Token: l.blocks[b].token,
+		Events: []peer.Event{{Task: peer.Task{Job: spec.Ref, Index: 0}, Kind: peer.Done, Machine: names[0]}}}}}})
+	writes := 0
+	for _, e := range fx {
+		if c, ok := e.(Commit); ok && c.Txn.Then[0].Put == progKey(spec.Ref, 0) {
+			writes++
+		}
+	}
+	if writes != 1 || !l.jobs[spec.Ref].saving {
+		t.Fatalf("%d progress writes under way, want 1", writes)
+	}
+	var stopped []peer.StopTask
+	for _, e := range l.Step(began, Watched{Epoch: 5, Events: []wire.Event{{Delete: JobPrefix + spec.Ref, Version: 20}}}) {
+		if x, ok := e.(Tell); ok {
+			for _, o := range x.Down.Orders {
+				stopped = append(stopped, o.Stop...)
+			}
+		}
+	}
+	if len(stopped) != 1 || stopped[0].Index != 1 {
+		t.Errorf("stops %v, want task 1", stopped)
+	}
+}
