--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -771,7 +771,11 @@
 			// Silence proves the end only after every grant that could have answered, and the worker's lease.
 			base := max(m.answered, b.since+h.p.GrantTime.Longer())
 			since := max(m.heard, b.since)
-			if silent := !m.gone && (m.heard > 0 || len(m.recs) > 0) && now-since > h.p.Lease*11/20; silent != m.silent {
+			quiet := h.p.Lease * 11 / 20
+			if m.notice {
+				quiet = min(quiet, h.p.ReportTime*5/2) // announced, so it needs no second look
+			}
+			if silent := !m.gone && (m.heard > 0 || len(m.recs) > 0) && now-since > quiet; silent != m.silent {
 				m.silent, m.dirty = silent, true
 			}
 			if !m.gone && !m.lost && (m.heard > 0 || len(m.recs) > 0) && now > base+h.p.Lease.Longer()+clock.Second {
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -299,7 +299,8 @@
 	up := map[*lblock]int{}
 	for _, m := range l.machines {
 		b := l.blockOf(m.name)
-		if m.up {
+		// Those that gave notice are expected to fall silent, many at once too.
+		if m.up && !m.state.Notice {
 			up[b]++
 			if m.state.Silent {
 				silent[b]++
@@ -322,7 +323,7 @@
 		case m.missing >= 3 && (m.state.Silent || !m.up):
 			why = "no longer listed"
 		// Many silent machines at once point at the holder, not at them.
-		case m.state.Silent && (silent[b]*2 < up[b] || silent[b] == 1):
+		case m.state.Silent && (m.state.Notice || silent[b]*2 < up[b] || silent[b] == 1):
 			why = "silent"
 		case !m.up && (m.booting || m.listed == 0) && b.state == granted && now-m.born > late && now-l.began > late/2:
 			why = "never came up"
