--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -446,7 +446,9 @@
 	if !l.loaded || !l.authorised(now) {
 		return
 	}
-	l.stirred = true
+	if now-l.lastSchedule >= clock.FromSeconds(l.cfg.Tuning.Placement.CycleS) {
+		l.stirred = true
+	}
 	l.assign(now)
 	for _, ref := range slices.Sorted(maps.Keys(l.jobs)) {
 		l.persist(now, l.jobs[ref])
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -415,6 +415,7 @@
 	for _, name := range shun {
 		l.machines[name].shun = true
 	}
+	l.stirred = true // what is shunned no more has room again
 	for _, o := range rent {
 		l.rentSeq++
 		req := fmt.Sprintf("r-%d-%d", l.epoch, l.rentSeq)
