--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -83,26 +83,38 @@
 
 // Tuning is the operators' own file: what the design leaves open.
 type Tuning struct {
-	Placement struct {
-		K       float64 `yaml:"k" validate:"gte=0,lte=1"`
-		Eta     float64 `yaml:"eta" validate:"gte=0,lt=1"`
-		Epsilon float64 `yaml:"epsilon" validate:"gt=0,lte=1"`
-		Small   float64 `yaml:"small" validate:"gt=0,lte=10"`
-		CycleS  float64 `yaml:"cycle_s" validate:"gte=0.05,lte=10"`
-	} `yaml:"placement"`
-	Grants struct {
-		Blocks int     `yaml:"blocks" validate:"gte=1,lte=64"`
-		TimeS  float64 `yaml:"time_s" validate:"gte=2,lte=120"`
-	} `yaml:"grants"`
-	Election struct {
-		TTLS float64 `yaml:"ttl_s" validate:"gte=1,lte=30"`
-	} `yaml:"election"`
-	Fleet struct {
-		SpotClearS     float64 `yaml:"spot_clear_s" validate:"gt=0,lte=3600"`
-		OrdinaryClearS float64 `yaml:"ordinary_clear_s" validate:"gt=0,lte=3600"`
-		IdleS          float64 `yaml:"idle_s" validate:"gte=0,lte=3600"`
-		LateFactor     float64 `yaml:"late_factor" validate:"gte=1,lte=20"`
-	} `yaml:"fleet"`
+	Placement Placement `yaml:"placement"`
+	Grants    Grants    `yaml:"grants"`
+	Election  Election  `yaml:"election"`
+	Fleet     Fleet     `yaml:"fleet"`
+}
+
+// Placement tunes affinity and auctions.
+type Placement struct {
+	K       float64 `yaml:"k" validate:"gte=0,lte=1"`
+	Eta     float64 `yaml:"eta" validate:"gte=0,lt=1"`
+	Epsilon float64 `yaml:"epsilon" validate:"gt=0,lte=1"`
+	Small   float64 `yaml:"small" validate:"gt=0,lte=10"`
+	CycleS  float64 `yaml:"cycle_s" validate:"gte=0.05,lte=10"`
+}
+
+// Grants tunes how machines are leased out.
+type Grants struct {
+	Blocks int     `yaml:"blocks" validate:"gte=1,lte=64"`
+	TimeS  float64 `yaml:"time_s" validate:"gte=2,lte=120"`
+}
+
+// Election tunes how soon another controller leads.
+type Election struct {
+	TTLS float64 `yaml:"ttl_s" validate:"gte=1,lte=30"`
+}
+
+// Fleet tunes renting and returning.
+type Fleet struct {
+	SpotClearS     float64 `yaml:"spot_clear_s" validate:"gt=0,lte=3600"`
+	OrdinaryClearS float64 `yaml:"ordinary_clear_s" validate:"gt=0,lte=3600"`
+	IdleS          float64 `yaml:"idle_s" validate:"gte=0,lte=3600"`
+	LateFactor     float64 `yaml:"late_factor" validate:"gte=1,lte=20"`
 }
 
 // DefaultTuning is used for all that the operators' file leaves out.
