--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -130,8 +130,8 @@
 	t.Election.TTLS = 3
 	t.Fleet.SpotClearS = 25
 	t.Fleet.OrdinaryClearS = 200
-	t.Fleet.IdleS = 20
-	t.Fleet.LateFactor = 3
+	t.Fleet.IdleS = 10
+	t.Fleet.LateFactor = 2
 	return t
 }
 
