--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -36,8 +36,7 @@
 	saving    bool // a write of it is under way
 	ending    bool // the write of its end is
 	savedAt   clock.Micros
-	pin       string // zone of a job that must stay together
-	okay      bool   // one of its tasks has completed
+	okay      bool // one of its tasks has completed
 	errAt     map[string]bool
 	errs      int
 	notBefore clock.Micros
@@ -122,9 +121,8 @@
 		if l.jobs[ref] != nil {
 			return
 		}
-		var r JobRecord
-		if err := json.Unmarshal(e.Value, &r); err != nil {
-			l.info("unreadable record", "key", e.Put, "error", err)
+		r, ok := decode[JobRecord](l, wire.Item{Key: e.Put, Value: e.Value})
+		if !ok {
 			return
 		}
 		l.addJob(r, e.Version).fillWaiting()
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -255,38 +255,35 @@
 	return wire.Write{Put: key, Value: raw}
 }
 
+// decode reads a record of ours; one that cannot be read is logged and left alone.
+func decode[T any](l *Leader, it wire.Item) (v T, ok bool) {
+	if err := json.Unmarshal(it.Value, &v); err != nil {
+		l.info("unreadable record", "key", it.Key, "error", err)
+		return v, false
+	}
+	return v, true
+}
+
 func (l *Leader) load(now clock.Micros, m Loaded) {
 	l.wall = m.Wall - now
 	n := l.cfg.Tuning.Grants.Blocks
 	haveLayout := false
 	stamps := map[string]uint64{}
 	holders := map[string]BlockRecord{}
-	bad := func(it wire.Item, err error) {
-		l.info("unreadable record", "key", it.Key, "error", err)
-	}
 	for _, it := range m.Items {
 		switch {
 		case it.Key == LayoutKey:
-			var r LayoutRecord
-			if err := json.Unmarshal(it.Value, &r); err != nil || r.Blocks < 1 {
-				bad(it, err)
-				continue
+			if r, ok := decode[LayoutRecord](l, it); ok && r.Blocks > 0 {
+				n, haveLayout = r.Blocks, true
 			}
-			n, haveLayout = r.Blocks, true
 		case it.Key == CatalogKey:
-			var c wire.Catalog
-			if err := json.Unmarshal(it.Value, &c); err != nil {
-				bad(it, err)
-				continue
+			if c, ok := decode[wire.Catalog](l, it); ok {
+				l.setTypes(c.Types)
 			}
-			l.setTypes(c.Types)
 		case strings.HasPrefix(it.Key, "block/"):
-			var r BlockRecord
-			if err := json.Unmarshal(it.Value, &r); err != nil {
-				bad(it, err)
-				continue
+			if r, ok := decode[BlockRecord](l, it); ok {
+				stamps[it.Key], holders[it.Key] = it.Version, r
 			}
-			stamps[it.Key], holders[it.Key] = it.Version, r
 		}
 	}
 	// Machines belong to blocks, so these come first.
@@ -297,19 +294,13 @@
 	for _, it := range m.Items {
 		switch {
 		case strings.HasPrefix(it.Key, JobPrefix):
-			var r JobRecord
-			if err := json.Unmarshal(it.Value, &r); err != nil {
-				bad(it, err)
-				continue
+			if r, ok := decode[JobRecord](l, it); ok {
+				l.addJob(r, it.Version)
 			}
-			l.addJob(r, it.Version)
 		case strings.HasPrefix(it.Key, FleetPrefix):
-			var r FleetRecord
-			if err := json.Unmarshal(it.Value, &r); err != nil {
-				bad(it, err)
-				continue
+			if r, ok := decode[FleetRecord](l, it); ok {
+				l.loadRental(now, it, r)
 			}
-			l.loadRental(now, it, r)
 		}
 	}
 	var stale []wire.Write
@@ -317,12 +308,8 @@
 		if strings.HasPrefix(it.Key, ProgPrefix) {
 			ref, chunk, _ := strings.Cut(strings.TrimPrefix(it.Key, ProgPrefix), "/")
 			c, err := strconv.Atoi(chunk)
-			var r ProgRecord
-			if err == nil {
-				err = json.Unmarshal(it.Value, &r)
-			}
-			if err != nil {
-				bad(it, err)
+			r, ok := decode[ProgRecord](l, it)
+			if err != nil || !ok {
 				continue
 			}
 			if j := l.jobs[ref]; j != nil {
--- a/internal/leader/messages.go
+++ b/internal/leader/messages.go
@@ -186,7 +186,7 @@
 	ReadCatalog struct{}
 	// Resign gives up the epoch.
 	Resign struct{ Why string }
-	// Info and Debug are log lines.
+	// Log is a line for the log.
 	Log struct {
 		Debug bool
 		Text  string
