Tell users at once that the state service is away

Cause: submissions and polls were retried inside for up to 3.5 s while the state service was away or silent; with it unreachable a submission took 1.5 s to get 503. Now only limits (a few times) and one lost answer are retried.

--- a/internal/api/jobs.go
+++ b/internal/api/jobs.go
@@ -32,7 +32,14 @@
 	Once(ctx context.Context, prio int, t wire.Txn) (store.Outcome, error)
 }
 
-// answerWithin keeps an answer inside the time that users wait for one.
+// again says whether try n+1 of a request is worth the user's wait: after a
+// moment when only the limits were in the way, once when no answer came. Else the
+// state service is away, and the user is told at once when to come back.
+func again(err error, n int) bool {
+	return errors.Is(err, store.ErrBusy) && n < 4 || errors.Is(err, store.ErrUnknown) && n < 1
+}
+
+// What a user waits for at most.
 const (
 	submitWithin = 3500 * time.Millisecond
 	pollWithin   = 1500 * time.Millisecond
@@ -106,7 +113,6 @@
 	defer cancel()
 	t := wire.Txn{If: []wire.Guard{{Key: leader.JobPrefix + job.Ref}, {Key: leader.EndPrefix + job.Ref}},
 		Then: []wire.Write{{Put: leader.JobPrefix + job.Ref, Value: raw}}}
-	unsure := false
 	for n := 0; ; n++ {
 		o, err := s.store.Once(ctx, store.Urgent, t)
 		switch {
@@ -118,15 +124,9 @@
 				return refuse(503, "the job's state changed meanwhile")
 			}
 			return r
-		case errors.Is(err, store.ErrUnknown):
-			// It may have been written: only the store can say.
-			unsure = true
-		case !unsure:
-			// Certainly refused: the user is told at once when to come back.
-			return refuse(503, "the state service is away")
 		}
-		if !s.pause(ctx, n) {
-			return refuse(503, "the state service does not answer")
+		if !again(err, n) || !s.pause(ctx, n) {
+			return refuse(503, "the state service is away")
 		}
 	}
 }
@@ -197,7 +197,7 @@
 		if err == nil {
 			return r
 		}
-		if !s.pause(ctx, n) {
+		if !again(err, n) || !s.pause(ctx, n) {
 			return refuse(503, "the state service is away")
 		}
 	}
@@ -243,7 +243,8 @@
 		if err == nil && r.Code > 0 {
 			return r
 		}
-		if errors.Is(err, store.ErrRefused) || !s.pause(ctx, n) {
+		changed := err == nil && n < 4
+		if !changed && !again(err, n) || !s.pause(ctx, n) {
 			return refuse(503, "the state service is away")
 		}
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -32,6 +32,17 @@
 // ErrRefused says that the request was certainly not carried out.
 var ErrRefused = errors.New("state service refused")
 
+// ErrBusy comes with ErrRefused when it was only for the limits: soon again is fine.
+var ErrBusy = errors.New("over the limit")
+
+// refused is the error of a status that says the request was not carried out.
+func refused(code int) error {
+	if code == 429 {
+		return fmt.Errorf("%w: %w", ErrRefused, ErrBusy)
+	}
+	return fmt.Errorf("%w: %d", ErrRefused, code)
+}
+
 // ErrUnknown says that the request may have been carried out, or may be later.
 var ErrUnknown = errors.New("state service gave no answer")
 
@@ -228,7 +239,7 @@
 	case code == 404:
 		return it, fmt.Errorf("get %s: %w", key, ErrMissing)
 	}
-	return it, fmt.Errorf("get %s: %w: %d", key, ErrRefused, code)
+	return it, fmt.Errorf("get %s: %w", key, refused(code))
 }
 
 // List reads all keys with a prefix and the oldest revision that the pages are true for.
@@ -303,7 +314,7 @@
 	case code == 400:
 		return Outcome{NoLease: a.Error == "no such lease"}, fmt.Errorf("transaction: malformed: %s", a.Error)
 	}
-	return Outcome{}, fmt.Errorf("transaction: %w: %d", ErrRefused, code)
+	return Outcome{}, fmt.Errorf("transaction: %w", refused(code))
 }
 
 // Commit repeats a transaction until the store has decided on it or ctx ends.
