--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -195,15 +195,7 @@
 		}
 		return fmt.Sprintf("once %d, repeated %d", once, more)
 	case "on":
-		n := 0
-		for _, s := range w.workers {
-			for _, t := range s.Tasks {
-				if t.Job.Ref == ref && t.Holds() && !s.dead {
-					n++
-				}
-			}
-		}
-		return fmt.Sprint(n)
+		return fmt.Sprint(w.on(ref))
 	case "machines":
 		n := 0
 		for _, m := range w.cloud.Machines {
@@ -246,19 +238,27 @@
 	return out
 }
 
+// on counts a job's tasks that are on machines.
+func (w *world) on(ref string) (n int) {
+	for _, s := range w.workers {
+		for _, t := range s.Tasks {
+			if t.Job.Ref == ref && t.Holds() && !s.dead {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 func (w *world) await(n *simNode, ref, state string, within clock.Micros) string {
 	for end := w.now + within; w.now < end; {
-		w.run(clock.Second / 4)
-		if state == "on" {
-			for _, s := range w.workers {
-				for _, t := range s.Tasks {
-					if t.Job.Ref == ref && t.Holds() {
-						return "on"
-					}
-				}
+		if state == "off" { // the last task has ended, at this very step
+			if w.run(step); w.on(ref) == 0 {
+				return state
 			}
 			continue
 		}
+		w.run(clock.Second / 4)
 		if r := n.svc.Look(ref); r.Code == 200 && r.Status.State == state {
 			return state
 		}
