One piece of code for what the store's answers mean; teams looked up by name

The scenario runner had its own copy of how start records, erasures and the leader claim become transactions and how their outcomes and the leader key are read; node and runner now call the same functions, so the scenarios test what runs. Scheduling no longer searches the list of teams for each task, the limit check stands once, the rank comes from the queue key, and a field that nothing read is gone.

--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -39,7 +39,6 @@
 	startedAt clock.Micros
 	stop      int // 0 no, 1 with time to save, 2 at once
 	stopAt    clock.Micros
-	cause     string
 	told      bool // the leader has been told how it ended
 	stored    bool // what its end proved is stored
 }
@@ -734,7 +733,7 @@
 		return cmds
 	}
 	if rc.state != exited {
-		rc.state, rc.cause, m.dirty = exited, t.Cause, true
+		rc.state, m.dirty = exited, true
 	}
 	if !rc.told {
 		ev := peer.Event{Task: rc.task, Machine: m.name}
--- a/internal/block/messages.go
+++ b/internal/block/messages.go
@@ -4,10 +4,13 @@
 package block
 
 import (
+	"encoding/json"
+	"fmt"
 	"hash/fnv"
 
 	"swiftledge/internal/clock"
 	"swiftledge/internal/peer"
+	"swiftledge/internal/store"
 	"swiftledge/wire"
 )
 
@@ -106,6 +109,34 @@
 	}
 )
 
+// Txn writes the record, guarded on the block's key and on its own absence.
+func (r Record) Txn() (wire.Txn, error) {
+	raw, err := json.Marshal(r.Page)
+	if err != nil {
+		return wire.Txn{}, fmt.Errorf("start record %s: %w", r.Key, err)
+	}
+	return wire.Txn{If: []wire.Guard{{Key: Key(r.Block), Version: r.Stamp}, {Key: r.Key}},
+		Then: []wire.Write{{Put: r.Key, Value: raw}}}, nil
+}
+
+// Settled is what the outcome of the record's transaction means.
+func (r Record) Settled(o store.Outcome) Recorded {
+	done := Recorded{Block: r.Block, Token: r.Token, Key: r.Key, OK: o.OK, Fenced: o.FailedOn(Key(r.Block))}
+	if !done.Fenced && o.FailedOn(r.Key) {
+		done.OK = true // an earlier try of ours got no answer, but went through
+	}
+	return done
+}
+
+// Txn removes the records, guarded on the block's key.
+func (e Erase) Txn() wire.Txn {
+	t := wire.Txn{If: []wire.Guard{{Key: Key(e.Block), Version: e.Stamp}}}
+	for _, k := range e.Keys {
+		t.Then = append(t.Then, wire.Write{Delete: k})
+	}
+	return t
+}
+
 // Params are a Holder's settings.
 type Params struct {
 	Node       string
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -3,10 +3,13 @@
 package election
 
 import (
+	"encoding/json"
 	"errors"
+	"fmt"
 
 	"swiftledge/internal/clock"
 	"swiftledge/internal/store"
+	"swiftledge/wire"
 )
 
 // Record is the value of the leader key.
@@ -78,6 +81,42 @@
 	}
 )
 
+// Key is the leader key.
+const Key = "leader"
+
+// Txn creates the leader key under the lease.
+func (c Claim) Txn() (wire.Txn, error) {
+	raw, err := json.Marshal(c.Record)
+	if err != nil {
+		return wire.Txn{}, fmt.Errorf("leader record: %w", err)
+	}
+	return wire.Txn{If: []wire.Guard{{Key: Key}}, Then: []wire.Write{{Put: Key, Value: raw, Lease: c.Lease}}}, nil
+}
+
+// SeenKey is Seen for the leader key as it was at a revision; it.Version 0: absent.
+func SeenKey(it wire.Item, revision uint64) (Seen, error) {
+	s := Seen{Version: it.Version, Revision: revision}
+	if it.Version == 0 {
+		return s, nil
+	}
+	if err := json.Unmarshal(it.Value, &s.Record); err != nil {
+		return s, fmt.Errorf("leader record: %w", err)
+	}
+	return s, nil
+}
+
+// SeenEvent is Seen for a change of the leader key; false for one of another key.
+func SeenEvent(e wire.Event) (Seen, bool, error) {
+	switch Key {
+	case e.Put:
+		s, err := SeenKey(wire.Item{Value: e.Value, Version: e.Version}, e.Version)
+		return s, true, err
+	case e.Delete:
+		return Seen{Revision: e.Version}, true, nil
+	}
+	return Seen{}, false, nil
+}
+
 // Elector is the actor's state.
 type Elector struct {
 	me       Record
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -359,26 +359,28 @@
 	age := (now + l.wall - j.rec.At).Seconds()
 	// The least time in which the rest can be done within the team's limit.
 	need := l.remaining(j)
-	if team, ok := l.cfg.Team(s.Team); ok && team.CPUsMax > 0 {
-		need = max(need, float64(s.Tasks-j.nDone)*s.CPUs*l.remaining(j)/team.CPUsMax)
+	if most := l.teams[s.Team].CPUsMax; most > 0 {
+		need = max(need, float64(s.Tasks-j.nDone)*s.CPUs*need/most)
 	}
+	rank := wire.Rank(s.Priority)
 	late := 0.0
-	if rank := wire.Rank(s.Priority); rank >= wire.Rank(wire.Standard) && age+need > due {
+	if rank >= wire.Rank(wire.Standard) && age+need > due {
 		late = 1
 	}
 	third := due - age - need
 	if s.DeadlineS == nil {
 		third = need
 	}
-	return [4]float64{late, float64(wire.Rank(s.Priority)), third, -age}
+	return [4]float64{late, float64(rank), third, -age}
 }
 
 type queued struct {
-	j    *job
-	rank int
-	key  [4]float64
+	j   *job
+	key [4]float64
 }
 
+func (q queued) rank() float64 { return q.key[1] }
+
 // gather is how long room that comes free is collected before it is offered, so
 // that one start record serves several tasks. New jobs do not wait for it.
 const gather = 120 * clock.Millisecond
@@ -414,7 +416,7 @@
 		j := l.jobs[ref]
 		if len(j.waiting) > 0 && now >= j.notBefore && !j.cancelled {
 			t := j.rec.Spec.Team
-			teams[t] = append(teams[t], queued{j, wire.Rank(j.rec.Spec.Priority), l.queueKey(now, j)})
+			teams[t] = append(teams[t], queued{j, l.queueKey(now, j)})
 		}
 	}
 	names := slices.Sorted(maps.Keys(teams))
@@ -432,7 +434,7 @@
 	for len(names) > 0 {
 		best, bestKey := -1, [3]float64{}
 		for i, name := range names {
-			team, _ := l.cfg.Team(name)
+			team := l.teams[name]
 			u := l.usage[name]
 			if u == nil {
 				u = &use{}
@@ -442,12 +444,12 @@
 			for len(q) > 0 {
 				s := &q[0].j.rec.Spec
 				if len(q[0].j.waiting) > 0 {
-					if u.cpus+s.CPUs <= team.CPUsMax+1e-9 && u.gpus+s.GPUs <= team.GPUsMax+1e-9 {
+					if u.takes(s, team.CPUsMax, team.GPUsMax) {
 						break
 					}
 					// What the limit holds back must not be passed by smaller tasks of
 					// less important jobs, which would take every bit of room that comes free.
-					q = slices.DeleteFunc(q[1:], func(o queued) bool { return o.rank > q[0].rank })
+					q = slices.DeleteFunc(q[1:], func(o queued) bool { return o.rank() > q[0].rank() })
 					continue
 				}
 				q = q[1:]
@@ -458,10 +460,10 @@
 			}
 			s := &q[0].j.rec.Spec
 			borrow := 0.0
-			if u.cpus+s.CPUs > team.CPUs+1e-9 || u.gpus+s.GPUs > team.GPUs+1e-9 {
+			if !u.takes(s, team.CPUs, team.GPUs) {
 				borrow = 1
 			}
-			key := [3]float64{borrow, float64(q[0].rank), u.cpus / max(team.CPUs, 1)}
+			key := [3]float64{borrow, q[0].rank(), u.cpus / max(team.CPUs, 1)}
 			if best < 0 || slices.Compare(key[:], bestKey[:]) < 0 {
 				best, bestKey = i, key
 			}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -123,10 +123,16 @@
 	storeOK                                                  func() bool
 	wall                                                     clock.Micros       // the time of day less the steady clock
 	within                                                   map[string]float64 // by class: in how many seconds its jobs are expected done
+	teams                                                    map[string]config.Team
 }
 
 type use struct{ cpus, gpus float64 }
 
+// takes says whether one more task of s keeps the use within what is given.
+func (u *use) takes(s *wire.Job, cpus, gpus float64) bool {
+	return u.cpus+s.CPUs <= cpus+1e-9 && u.gpus+s.GPUs <= gpus+1e-9
+}
+
 // classStat learns how long tasks of a class really run against their estimate.
 type classStat struct {
 	ratio float64
@@ -135,19 +141,21 @@
 
 // New makes a leader that does not lead yet.
 func New(cfg *config.Config, storeOK func() bool) *Leader {
-	l := &Leader{cfg: cfg, self: cfg.Name, storeOK: storeOK}
+	l := &Leader{cfg: cfg, self: cfg.Name, storeOK: storeOK, within: map[string]float64{}, teams: map[string]config.Team{}}
+	for _, o := range cfg.Facts.Objectives {
+		if o.Kind == "finished" {
+			l.within[o.Class] = o.WithinS
+		}
+	}
+	for _, t := range cfg.Facts.Teams {
+		l.teams[t.Name] = t
+	}
 	l.reset()
 	return l
 }
 
 func (l *Leader) reset() {
-	within := map[string]float64{}
-	for _, o := range l.cfg.Facts.Objectives {
-		if o.Kind == "finished" {
-			within[o.Class] = o.WithinS
-		}
-	}
-	*l = Leader{cfg: l.cfg, within: within, self: l.self, storeOK: l.storeOK, nodes: map[string]*node{}, jobs: map[string]*job{}, usage: map[string]*use{},
+	*l = Leader{cfg: l.cfg, within: l.within, teams: l.teams, self: l.self, storeOK: l.storeOK, nodes: map[string]*node{}, jobs: map[string]*job{}, usage: map[string]*use{},
 		machines: map[string]*machine{}, rentals: map[string]*rental{}, gone: map[string]bool{}, types: map[string]wire.MachineType{},
 		refused: map[string]clock.Micros{}, classes: map[string]*classStat{}, found: map[string]wire.Machine{}, counts: map[string]peer.TaskCount{}}
 }
@@ -457,8 +465,8 @@
 	blocked := 0
 	for _, j := range l.jobs {
 		waiting += len(j.waiting)
-		team, _ := l.cfg.Team(j.rec.Spec.Team)
-		if u := l.usage[team.Name]; u != nil && u.cpus+j.rec.Spec.CPUs > team.CPUsMax+1e-9 {
+		team := l.teams[j.rec.Spec.Team]
+		if u := l.usage[team.Name]; u != nil && !u.takes(&j.rec.Spec, team.CPUsMax, team.GPUsMax) {
 			blocked += len(j.waiting)
 		}
 	}
@@ -471,7 +479,7 @@
 	used := 0.0
 	for name, u := range l.usage {
 		used += u.cpus
-		if team, _ := l.cfg.Team(name); u.cpus > team.CPUsMax-1 {
+		if u.cpus > l.teams[name].CPUsMax-1 {
 			full++
 		}
 	}
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -355,9 +355,8 @@
 		if left <= 0 || now < j.notBefore {
 			continue
 		}
-		team, _ := l.cfg.Team(s.Team)
 		if _, ok := room[s.Team]; !ok {
-			room[s.Team] = team.CPUsMax
+			room[s.Team] = l.teams[s.Team].CPUsMax
 		}
 		n := left
 		if s.CPUs > 0 {
--- a/internal/leader/messages.go
+++ b/internal/leader/messages.go
@@ -4,6 +4,7 @@
 
 import (
 	"swiftledge/internal/clock"
+	"swiftledge/internal/election"
 	"swiftledge/internal/peer"
 	"swiftledge/internal/store"
 	"swiftledge/wire"
@@ -11,7 +12,7 @@
 
 // Store keys of the leader.
 const (
-	Key         = "leader"
+	Key         = election.Key
 	LayoutKey   = "layout"
 	CatalogKey  = "catalog"
 	JobPrefix   = "job/"
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -169,13 +169,12 @@
 		}()
 	case election.Claim:
 		go func() {
-			raw, err := json.Marshal(x.Record)
+			t, err := x.Txn()
 			if err != nil {
-				n.log.Error("encode leader record", "error", err)
+				n.log.Error("claim", "error", err)
 				return
 			}
-			o, err := n.store.Once(short(ctx), store.Urgent, wire.Txn{If: []wire.Guard{{Key: leader.Key}},
-				Then: []wire.Write{{Put: leader.Key, Value: raw, Lease: x.Lease}}})
+			o, err := n.store.Once(short(ctx), store.Urgent, t)
 			n.elector <- election.Claimed{Lease: x.Lease, Outcome: o, Err: err}
 		}()
 	case election.Renew:
@@ -221,15 +220,16 @@
 		n.log.Debug("cannot read the leader key", "error", err)
 		return 0, false
 	}
-	seen := election.Seen{Revision: rev}
+	var key wire.Item
 	for _, it := range items {
 		if it.Key == leader.Key {
-			seen.Version = it.Version
-			if err := json.Unmarshal(it.Value, &seen.Record); err != nil {
-				n.log.Error("leader record", "error", err)
-			}
+			key = it
 		}
 	}
+	seen, err := election.SeenKey(key, rev)
+	if err != nil {
+		n.log.Error("look for the leader", "error", err)
+	}
 	n.elector <- seen
 	return rev, true
 }
@@ -246,17 +246,12 @@
 			}
 			rev = max(rev, a.Revision)
 			for _, ev := range a.Events {
-				seen := election.Seen{Revision: ev.Version}
-				if ev.Put == leader.Key {
-					seen.Version = ev.Version
-					if err := json.Unmarshal(ev.Value, &seen.Record); err != nil {
-						n.log.Error("leader record", "error", err)
-						continue
-					}
-				} else if ev.Delete != leader.Key {
-					continue
+				seen, ok, err := election.SeenEvent(ev)
+				if err != nil {
+					n.log.Error("watch the leader", "error", err)
+				} else if ok {
+					n.elector <- seen
 				}
-				n.elector <- seen
 			}
 		}
 	}
@@ -368,11 +363,7 @@
 		go n.record(ctx, x)
 	case block.Erase:
 		go func() {
-			t := wire.Txn{If: []wire.Guard{{Key: block.Key(x.Block), Version: x.Stamp}}}
-			for _, k := range x.Keys {
-				t.Then = append(t.Then, wire.Write{Delete: k})
-			}
-			if _, err := n.store.Once(ctx, store.Lazy, t); err != nil {
+			if _, err := n.store.Once(ctx, store.Lazy, x.Txn()); err != nil {
 				// They stay as upper bounds until the block's next grant.
 				n.log.Debug("start records not erased", "error", err)
 			}
@@ -427,24 +418,16 @@
 func (n *Node) record(ctx context.Context, r block.Record) {
 	ctx, cancel := context.WithTimeout(ctx, 8*time.Second)
 	defer cancel()
-	raw, err := json.Marshal(r.Page)
+	t, err := r.Txn()
 	if err != nil {
-		n.log.Error("encode start record", "error", err)
+		n.log.Error("record starts", "error", err)
 		return
 	}
-	o, err := n.store.Commit(ctx, store.Starts, wire.Txn{
-		If:   []wire.Guard{{Key: block.Key(r.Block), Version: r.Stamp}, {Key: r.Key}},
-		Then: []wire.Write{{Put: r.Key, Value: raw}}})
-	done := block.Recorded{Block: r.Block, Token: r.Token, Key: r.Key, OK: o.OK}
-	switch {
-	case err != nil:
+	o, err := n.store.Commit(ctx, store.Starts, t)
+	if err != nil {
 		n.log.Debug("start record not written", "error", err)
-	case o.FailedOn(block.Key(r.Block)):
-		done.Fenced = true
-	case o.FailedOn(r.Key):
-		done.OK = true // an earlier try of ours got no answer, but went through
 	}
-	n.holder <- done
+	n.holder <- r.Settled(o)
 }
 
 type epoch struct {
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -400,12 +400,9 @@
 			a := n.w.store.Since(leader.Key, n.leaderRev)
 			n.leaderRev = max(n.leaderRev, a.Revision)
 			for _, ev := range a.Events {
-				seen := election.Seen{Revision: ev.Version}
-				if ev.Put == leader.Key {
-					seen.Version = ev.Version
-					must(json.Unmarshal(ev.Value, &seen.Record))
-				}
-				if ev.Put+ev.Delete == leader.Key {
+				seen, ok, err := election.SeenEvent(ev)
+				must(err)
+				if ok {
 					n.electorStep(seen)
 				}
 			}
@@ -524,21 +521,17 @@
 
 func (n *simNode) look() {
 	var it wire.Item
-	var ok bool
 	var rev uint64
 	n.ask(func() {
-		it, ok = n.w.store.Get(leader.Key)
+		it, _ = n.w.store.Get(leader.Key)
 		_, rev = n.w.store.List("none")
 	}, func(err error) {
 		if err != nil {
 			n.w.after(200*clock.Millisecond, n.still(n.look))
 			return
 		}
-		seen := election.Seen{Revision: rev}
-		if ok {
-			seen.Version = it.Version
-			must(json.Unmarshal(it.Value, &seen.Record))
-		}
+		seen, err := election.SeenKey(it, rev)
+		must(err)
 		n.leaderRev = max(n.leaderRev, rev)
 		n.electorStep(seen)
 	})
@@ -554,12 +547,11 @@
 			n.electorStep(election.Leased{Lease: id, Sent: sent, Err: err})
 		})
 	case election.Claim:
-		raw, err := json.Marshal(x.Record)
+		t, err := x.Txn()
 		must(err)
-		n.txn(wire.Txn{If: []wire.Guard{{Key: leader.Key}}, Then: []wire.Write{{Put: leader.Key, Value: raw, Lease: x.Lease}}},
-			func(o store.Outcome, err error) {
-				n.electorStep(election.Claimed{Lease: x.Lease, Outcome: o, Err: err})
-			})
+		n.txn(t, func(o store.Outcome, err error) {
+			n.electorStep(election.Claimed{Lease: x.Lease, Outcome: o, Err: err})
+		})
 	case election.Renew:
 		sent := w.now
 		found := false
@@ -664,23 +656,11 @@
 	case block.Inspect:
 		n.inspect(x)
 	case block.Record:
-		raw, err := json.Marshal(x.Page)
+		t, err := x.Txn()
 		must(err)
-		key := block.Key(x.Block)
-		n.commit(wire.Txn{If: []wire.Guard{{Key: key, Version: x.Stamp}, {Key: x.Key}}, Then: []wire.Write{{Put: x.Key, Value: raw}}},
-			false, func() bool { return true }, func(o store.Outcome, err error) {
-				done := block.Recorded{Block: x.Block, Token: x.Token, Key: x.Key, OK: o.OK, Fenced: o.FailedOn(key)}
-				if !done.Fenced && o.FailedOn(x.Key) {
-					done.OK = true
-				}
-				n.holderStep(done)
-			})
+		n.commit(t, false, func() bool { return true }, func(o store.Outcome, _ error) { n.holderStep(x.Settled(o)) })
 	case block.Erase:
-		t := wire.Txn{If: []wire.Guard{{Key: block.Key(x.Block), Version: x.Stamp}}}
-		for _, k := range x.Keys {
-			t.Then = append(t.Then, wire.Write{Delete: k})
-		}
-		n.txn(t, func(store.Outcome, error) {})
+		n.txn(x.Txn(), func(store.Outcome, error) {})
 	default:
 		panic(fmt.Sprintf("unknown effect %T", fx))
 	}
