Reads no longer wait behind puts in the store's budget

Two queues now; parts of the budget add up to 1.2 of the whole instead of 1.8, as 429s cost requests.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -92,9 +92,12 @@
 // share is this node's part of the store's budget: the leader writes most. The
 // parts add up to more than the whole, since bursts seldom meet; see store.Budget.
 func (n *Node) share(leads bool) store.Budget {
-	part := 0.5
-	if leads || len(n.cfg.Peers) == 0 {
-		part = 0.8
+	part := 0.35
+	switch {
+	case len(n.cfg.Peers) == 0:
+		part = 0.95
+	case leads:
+		part = 0.5
 	}
 	s := n.cfg.Facts.State
 	return store.Budget{RPS: s.RPS * part, Puts: s.WriteRPS * part}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/url"
@@ -72,12 +73,15 @@
 type tickets []*ticket
 
 func (t tickets) Len() int { return len(t) }
-func (t tickets) Less(i, j int) bool {
-	if t[i].prio != t[j].prio {
-		return t[i].prio < t[j].prio
+func (t tickets) Less(i, j int) bool { return t[i].before(t[j]) }
+
+func (t *ticket) before(o *ticket) bool {
+	if t.prio != o.prio {
+		return t.prio < o.prio
 	}
-	return t[i].seq < t[j].seq
+	return t.seq < o.seq
 }
+
 func (t tickets) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
 func (t *tickets) Push(x any)   { *t = append(*t, x.(*ticket)) }
 func (t *tickets) Pop() any {
@@ -87,6 +91,13 @@
 	return x
 }
 
+// drop takes requests off the head that nobody waits for any more.
+func (t *tickets) drop() {
+	for len(*t) > 0 && (*t)[0].ctx.Err() != nil {
+		heap.Pop(t)
+	}
+}
+
 // Client is the state service as one node sees it.
 type Client struct {
 	http, watch *fasthttp.HostClient
@@ -124,9 +135,10 @@
 // SetBudget changes this node's part, as a leader needs more than the others.
 func (c *Client) SetBudget(b Budget) { c.budget <- b }
 
-// pace is the actor that lets requests go within the budget.
+// pace is the actor that lets requests go within the budget. Reads and writes wait
+// in queues of their own: what waits for puts must not hold up reads, which need none.
 func (c *Client) pace(full Budget) {
-	var q tickets
+	var reads, writes tickets
 	b, use := full, 1.0
 	seq := 0
 	last := time.Now()
@@ -138,7 +150,11 @@
 		case t := <-c.tickets:
 			t.seq = seq
 			seq++
-			heap.Push(&q, t)
+			if t.puts > 0 {
+				heap.Push(&writes, t)
+			} else {
+				heap.Push(&reads, t)
+			}
 		case full = <-c.budget:
 		case <-c.over:
 			use = max(leastUse, use*shrink)
@@ -152,22 +168,34 @@
 		b = Budget{full.RPS * use, full.Puts * use}
 		req = min(b.RPS, req+dt*b.RPS)
 		puts = min(max(b.Puts, 1), puts+dt*b.Puts)
-		for q.Len() > 0 {
-			t := q[0]
-			if t.ctx.Err() != nil {
-				heap.Pop(&q)
-				continue
-			}
+		for {
+			reads.drop()
+			writes.drop()
 			// A transaction larger than the bucket goes when the bucket is full.
-			need := min(float64(t.puts), max(b.Puts, 1))
-			if req < 1 || puts < need {
-				wait := max((1-req)/b.RPS, (need-puts)/b.Puts)
-				timer.Reset(time.Duration(wait*float64(time.Second)) + time.Millisecond)
+			missing := 0.0
+			if len(writes) > 0 {
+				missing = min(float64(writes[0].puts), max(b.Puts, 1)) - puts
+			}
+			from := &reads
+			if len(writes) > 0 && missing <= 0 && (len(reads) == 0 || writes[0].before(reads[0])) {
+				from = &writes
+			}
+			if len(*from) == 0 || req < 1 {
+				wait := math.Inf(1)
+				if len(writes) > 0 {
+					wait = max((1-req)/b.RPS, missing/b.Puts)
+				}
+				if len(reads) > 0 {
+					wait = min(wait, (1-req)/b.RPS)
+				}
+				if !math.IsInf(wait, 1) {
+					timer.Reset(time.Duration(wait*float64(time.Second)) + time.Millisecond)
+				}
 				break
 			}
+			t := heap.Pop(from).(*ticket)
 			req--
 			puts -= float64(t.puts)
-			heap.Pop(&q)
 			close(t.ready)
 		}
 	}
