--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -21,21 +21,21 @@
 	exited
 )
 
-type recKey struct {
-	task    peer.Task
-	attempt uint64
-}
-
 // rec is one attempt that may be on a machine.
 type rec struct {
-	recKey
-	group     *peer.RecordGroup // what the task takes; Records unused
-	page      string
+	task      peer.Task
+	attempt   uint64
+	m         *machine
+	group     *peer.RecordGroup // what the task takes; Starts unused
+	page      *page             // where its record is; nil once it needs none
+	place     int               // in page.recs
 	state     recState
 	inherited bool
 	session   uint64 // in which it was ordered
 	inflight  int    // run orders sent directly and not answered: they may still be carried out
+	direct    bool   // a run order under our token went out directly: a copy of it may come late
 	running   bool
+	done      bool // it exited with its result kept
 	startedAt clock.Micros
 	stop      int // 0 no, 1 with time to save, 2 at once
 	stopAt    clock.Micros
@@ -47,17 +47,49 @@
 	name, address, typ, zone string
 	spot                     bool
 	session, seq             uint64
-	shown                    bool // has shown our token
+	beatSession, beatSeq     uint64 // of the newest report of its own, not of an answer to us
+	shown                    bool   // has shown our token
 	heard                    clock.Micros
 	answered                 clock.Micros
 	notice, known, drain     bool
 	gone, lost, dirty        bool
 	wasFit, silent           bool
+	unheard                  int          // direct commands without an answer, in a row
+	deaf                     clock.Micros // since when it seems not to hear us; 0: it does
 	fenced                   clock.Micros // when it was last shown our token directly
-	recs                     map[recKey]*rec
+	recs                     []*rec       // in the order in which they came
+	free                     *placement.Machine
 }
 
-type page struct{ live int }
+// page is one key of start records. Pages of this grant are written over, live
+// records first, so that a cycle costs one put and no deletes; those of earlier
+// grants, and those whose last write is uncertain, are only erased.
+type page struct {
+	key     string
+	version uint64
+	recs    []*rec // whose attempts are not proven gone
+	fixed   bool   // never written again
+	empty   clock.Micros
+}
+
+func (p *page) add(r *rec) {
+	r.page, r.place = p, len(p.recs)
+	p.recs = append(p.recs, r)
+}
+
+func (p *page) drop(r *rec) {
+	last := p.recs[len(p.recs)-1]
+	p.recs[r.place], last.place = last, r.place
+	p.recs = p.recs[:len(p.recs)-1]
+	r.page = nil
+}
+
+// cycleWrite is the one write of start records that a block has under way.
+type cycleWrite struct {
+	seq   int
+	pages []*page
+	recs  []*rec
+}
 
 type blk struct {
 	id           int
@@ -66,15 +98,22 @@
 	expires      clock.Micros
 	counter      uint64
 	pageSeq      int
-	pages        map[string]*page
+	writeSeq     int
+	pages        []*page // in the order in which they came
+	writing      *cycleWrite
 	erase        []string
 	erasedAt     clock.Micros
 	machines     map[string]*machine
+	order        []*machine // by name
+	changed      []*machine // that the leader is to be told of
+	byTask       map[peer.Task][]*rec
 	// attempts counts, by task, those whose end the leader has not been told. A
 	// stale record may stand beside a live one: only the last end gives the task back.
 	attempts map[peer.Task]int
-	seq      uint64
+	seq      uint64 // of the leader's offers that are settled
+	taken    uint64 // of those taken in
 	tell     bool
+	raise    bool // the leader was asked for a new token
 	events   []peer.Event
 }
 
@@ -177,17 +216,20 @@
 }
 
 func (h *Holder) grant(now clock.Micros, g peer.Grant) {
-	if old := h.blocks[g.Block]; old != nil && old.token >= g.Token {
+	old := h.blocks[g.Block]
+	if old != nil && old.token >= g.Token {
 		return
 	}
-	b := &blk{id: g.Block, token: g.Token, stamp: g.Stamp, since: now, pages: map[string]*page{}, machines: map[string]*machine{},
-		attempts: map[peer.Task]int{}}
-	if old := h.blocks[g.Block]; old != nil {
+	b := &blk{id: g.Block, token: g.Token, stamp: g.Stamp, since: now, machines: map[string]*machine{},
+		byTask: map[peer.Task][]*rec{}, attempts: map[peer.Task]int{}}
+	if old != nil {
 		// What is known of the machines stays useful; what may run on them is read anew from the records.
-		for name, m := range old.machines {
-			b.machines[name] = &machine{name: name, address: m.address, typ: m.typ, zone: m.zone, spot: m.spot,
-				session: m.session, seq: m.seq, heard: m.heard, answered: m.answered, notice: m.notice, gone: m.gone,
-				recs: map[recKey]*rec{}}
+		for _, m := range old.order {
+			n := b.machine(m.name)
+			n.address, n.typ, n.zone, n.spot = m.address, m.typ, m.zone, m.spot
+			n.session, n.seq, n.beatSession, n.beatSeq = m.session, m.seq, m.beatSession, m.beatSeq
+			n.heard, n.answered, n.notice, n.gone = m.heard, m.answered, m.notice, m.gone
+			n.deaf, n.unheard = m.deaf, m.unheard
 		}
 		b.expires = old.expires
 	}
@@ -198,38 +240,32 @@
 			m.address = r.Address
 		}
 	}
-	type ended struct {
-		m *machine
-		r *rec
-	}
-	var over []ended
+	var over []*rec
 	for _, key := range slices.Sorted(maps.Keys(g.Pages)) {
-		pg := g.Pages[key]
-		live := &page{}
-		b.pages[key] = live
-		for i := range pg.Groups {
-			grp := &pg.Groups[i]
-			for _, r := range grp.Records {
+		src := g.Pages[key]
+		pg := &page{key: key, fixed: true}
+		for i := range src.Groups {
+			grp := &src.Groups[i]
+			// The leader hands out no page that cannot be read in full.
+			records, _ := src.Records(grp)
+			for _, r := range records {
 				m := b.machine(r.Machine)
-				k := recKey{peer.Task{Job: grp.Job, Index: r.Index}, r.Attempt}
-				if m.recs[k] != nil {
+				if m.find(r.Attempt) != nil {
 					continue
 				}
-				rc := &rec{recKey: k, group: grp, page: key, state: ordered, inherited: true}
-				b.add(m, rc)
-				live.live++
+				rc := &rec{task: peer.Task{Job: grp.Job, Index: r.Index}, attempt: r.Attempt, m: m, group: grp, state: ordered, inherited: true}
+				b.add(rc)
+				pg.add(rc)
 				if !m.known {
 					// Machines leave the roster only after their proven end.
-					over = append(over, ended{m, rc})
+					over = append(over, rc)
 				}
 			}
 		}
-		if live.live == 0 {
-			b.dropPage(key)
-		}
+		b.pages = append(b.pages, pg)
 	}
-	for _, e := range over {
-		h.lose(b, e.m, e.r, peer.Back)
+	for _, r := range over {
+		b.lose(r, peer.Back)
 	}
 	h.blocks[g.Block] = b
 	b.tell = true
@@ -273,16 +309,39 @@
 func (b *blk) machine(name string) *machine {
 	m := b.machines[name]
 	if m == nil {
-		m = &machine{name: name, dirty: true, recs: map[recKey]*rec{}}
+		m = &machine{name: name}
 		b.machines[name] = m
+		at, _ := slices.BinarySearchFunc(b.order, name, func(o *machine, n string) int { return strings.Compare(o.name, n) })
+		b.order = slices.Insert(b.order, at, m)
+		b.mark(m)
 	}
 	return m
 }
 
-func (b *blk) add(m *machine, r *rec) {
-	m.recs[r.recKey] = r
-	m.dirty = true
+// mark notes that the leader is to be told of the machine.
+func (b *blk) mark(m *machine) {
+	m.free = nil
+	if !m.dirty {
+		m.dirty = true
+		b.changed = append(b.changed, m)
+	}
+}
+
+// find gives the machine's record of an attempt; attempts never repeat.
+func (m *machine) find(attempt uint64) *rec {
+	for _, r := range m.recs {
+		if r.attempt == attempt {
+			return r
+		}
+	}
+	return nil
+}
+
+func (b *blk) add(r *rec) {
+	r.m.recs = append(r.m.recs, r)
+	b.byTask[r.task] = append(b.byTask[r.task], r)
 	b.attempts[r.task]++
+	b.mark(r.m)
 }
 
 // tellEnd says how an attempt ended, once; a task comes back only with its last attempt.
@@ -301,89 +360,91 @@
 	}
 }
 
-// remove takes an attempt off the books once it is proven gone.
-func (b *blk) remove(m *machine, r *rec) {
-	delete(m.recs, r.recKey)
-	m.dirty = true
-	if pg := b.pages[r.page]; pg != nil {
-		if pg.live--; pg.live == 0 {
-			b.dropPage(r.page)
-		}
+// settle gives up the record of an attempt whose end is proven and stored.
+func (b *blk) settle(r *rec) {
+	if r.page != nil {
+		r.page.drop(r)
 	}
 }
 
-func (b *blk) dropPage(key string) {
-	delete(b.pages, key)
-	b.erase = append(b.erase, key)
-}
-
-// lose ends an attempt that is proven to be on the machine no more.
-func (h *Holder) lose(b *blk, m *machine, r *rec, kind string) {
-	b.tellEnd(r, peer.Event{Task: r.task, Kind: kind, Machine: m.name})
-	b.remove(m, r)
+// lose takes off the books an attempt that is proven to be on the machine no more.
+func (b *blk) lose(r *rec, kind string) {
+	b.tellEnd(r, peer.Event{Task: r.task, Kind: kind, Machine: r.m.name})
+	b.settle(r)
+	r.m.recs = slices.DeleteFunc(r.m.recs, func(o *rec) bool { return o == r })
+	if left := slices.DeleteFunc(b.byTask[r.task], func(o *rec) bool { return o == r }); len(left) > 0 {
+		b.byTask[r.task] = left
+	} else {
+		delete(b.byTask, r.task)
+	}
+	b.mark(r.m)
 }
 
 func (h *Holder) orders(now clock.Micros, b *blk, o peer.BlockOrders) {
 	for _, name := range o.Use {
 		m := b.machine(name)
-		m.known, m.dirty = true, true
+		m.known = true
+		b.mark(m)
 	}
 	for _, name := range o.Drain {
 		m := b.machine(name)
-		m.drain, m.dirty = true, true
+		m.drain = true
+		b.mark(m)
 	}
 	for _, name := range o.Gone {
 		m := b.machine(name)
-		m.gone, m.dirty = true, true
-		for _, k := range sortedRecs(m) {
-			if r := m.recs[k]; r.state == recording {
+		m.gone = true
+		b.mark(m)
+		for _, r := range slices.Clone(m.recs) {
+			if r.state == recording {
 				r.stop = 2
 			} else {
-				h.lose(b, m, r, peer.Back)
+				b.lose(r, peer.Back)
 			}
 		}
 		h.book.Drop(name)
 	}
-	byTask := map[peer.Task][]*rec{}
-	where := map[*rec]*machine{}
-	if len(o.Stop)+len(o.Stored) > 0 {
-		for _, m := range b.machines {
-			for _, r := range m.recs {
-				byTask[r.task] = append(byTask[r.task], r)
-				where[r] = m
-			}
-		}
-	}
 	for _, t := range o.Stored {
-		for _, r := range byTask[t] {
-			r.stored = true
+		for _, r := range b.byTask[t] {
+			if r.state == exited {
+				r.stored = true
+				b.settle(r)
+			}
 		}
 	}
+	var stopped []*machine
 	stops := map[*machine][]wire.Command{}
 	for _, s := range o.Stop {
-		for _, r := range byTask[s.Task] {
+		for _, r := range b.byTask[s.Task] {
 			how := 2
 			if s.Save && r.group.Ckpt > 0 {
 				how = 1
 			}
-			if r.stop >= how || r.state == exited {
+			if r.stop >= how {
+				continue
+			}
+			if r.state == exited {
+				r.stop = how // a late copy of its order must find it listed still
 				continue
 			}
 			r.stop, r.stopAt = how, now
 			if r.state != recording {
-				m := where[r]
-				stops[m] = append(stops[m], r.kill())
+				if stops[r.m] == nil {
+					stopped = append(stopped, r.m)
+				}
+				stops[r.m] = append(stops[r.m], r.kill())
 			}
 		}
 	}
-	for _, name := range slices.Sorted(maps.Keys(b.machines)) {
-		if cmds := stops[b.machines[name]]; len(cmds) > 0 {
-			h.direct(b, b.machines[name], cmds)
-		}
+	for _, m := range stopped {
+		h.direct(b, m, stops[m])
 	}
 	if len(o.Offers) > 0 {
 		h.cycle(now, b, o.Offers)
-		b.seq, b.tell = o.Seq, true
+		b.taken = o.Seq
+		if b.writing == nil {
+			b.seq, b.tell = o.Seq, true
+		}
 	}
 }
 
@@ -395,6 +456,10 @@
 	return wire.Command{Op: wire.Kill, Task: TaskName(r.task), Attempt: r.attempt, GraceS: &grace}
 }
 
+func (r *rec) run() wire.Command {
+	return wire.Command{Op: wire.Run, Task: TaskName(r.task), Attempt: r.attempt}
+}
+
 // graceFor leaves a task more time than it says it needs to save.
 func graceFor(save float64) float64 { return save*1.5 + 2 }
 
@@ -407,13 +472,17 @@
 	return peer.Task{Job: job, Index: n}, ok && err == nil
 }
 
-// cycle places offered tasks by auctions, and writes the start records of what found a place.
+// cycle places offered tasks by auctions, and writes the start records of what
+// found a place. One write at a time: what comes meanwhile gathers with the
+// leader, so the state service's limit sets the length of the cycles.
 func (h *Holder) cycle(now clock.Micros, b *blk, offers []peer.Offer) {
 	var ms []*placement.Machine
-	for _, name := range slices.Sorted(maps.Keys(b.machines)) {
-		if m := b.machines[name]; h.fit(now, m) && now < b.expires {
-			if pm := h.room(m); pm.CPUs > 0 {
-				ms = append(ms, pm)
+	if b.writing == nil && now < b.expires {
+		for _, m := range b.order {
+			if h.fit(now, m) {
+				if pm := h.room(m); pm.CPUs > 0 {
+					ms = append(ms, pm)
+				}
 			}
 		}
 	}
@@ -434,46 +503,21 @@
 	}
 	matches := placement.Cycle(groups, ms, h.book, h.tuning, now)
 	placed := map[peer.Task]bool{}
-	const recordBytes, groupBytes = 64, 260
-	var pg peer.RecordPage
-	size := 0
-	var recs []*rec
-	write := func() {
-		if len(recs) == 0 {
-			return
-		}
-		b.pageSeq++
-		key := RecordPrefix(b.id) + strconv.FormatUint(b.token, 10) + "-" + strconv.Itoa(b.pageSeq)
-		for _, r := range recs {
-			r.page = key
-		}
-		b.pages[key] = &page{live: len(recs)}
-		h.emit(Record{Block: b.id, Token: b.token, Key: key, Page: pg, Stamp: b.stamp})
-		pg, size, recs = peer.RecordPage{}, 0, nil
-	}
+	w := newCycleWriter(h, b)
 	for _, mt := range matches {
-		spec := specs[mt.Group]
-		t := peer.Task{Job: mt.Group.Key, Index: mt.Index}
-		placed[t] = true
 		m := b.machines[mt.Machine.Name]
+		m.free = nil // the auction has taken from it
 		b.counter++
-		r := &rec{recKey: recKey{t, b.token<<20 | b.counter}, group: spec, session: m.session}
-		if size+recordBytes+groupBytes > h.p.ValueBytes {
-			write()
-		}
-		i := slices.IndexFunc(pg.Groups, func(g peer.RecordGroup) bool { return g.Job == t.Job })
-		if i < 0 {
-			pg.Groups = append(pg.Groups, *spec)
-			i = len(pg.Groups) - 1
-			size += groupBytes
-		}
-		pg.Groups[i].Records = append(pg.Groups[i].Records, peer.Record{Index: t.Index, Attempt: r.attempt, Machine: m.name})
-		size += recordBytes
-		recs = append(recs, r)
-		b.add(m, r)
-		b.events = append(b.events, peer.Event{Task: t, Kind: peer.Started, Machine: m.name})
-	}
-	write()
+		r := &rec{task: peer.Task{Job: mt.Group.Key, Index: mt.Index}, attempt: b.token<<peer.AttemptBits | b.counter, m: m,
+			group: specs[mt.Group], session: m.session}
+		if !w.add(r) {
+			continue // more than one transaction holds: another cycle's
+		}
+		placed[r.task] = true
+		b.add(r)
+		b.events = append(b.events, peer.Event{Task: r.task, Kind: peer.Started, Machine: m.name})
+	}
+	w.write()
 	for _, g := range groups {
 		for _, i := range g.Indexes {
 			if t := (peer.Task{Job: g.Key, Index: i}); !placed[t] {
@@ -483,12 +527,97 @@
 	}
 }
 
+// txnBytes is what the values of one transaction may take together.
+const txnBytes = 56 << 10
+
+// cycleWriter fills pages with a cycle's records, those with most room first.
+type cycleWriter struct {
+	h      *Holder
+	b      *blk
+	usable []*page // emptiest first
+	cw     *cycleWrite
+	out    []PageWrite
+	pager  *peer.Pager
+}
+
+func newCycleWriter(h *Holder, b *blk) *cycleWriter {
+	w := &cycleWriter{h: h, b: b, cw: &cycleWrite{seq: b.writeSeq + 1}}
+	for _, p := range b.pages {
+		if !p.fixed {
+			w.usable = append(w.usable, p)
+		}
+	}
+	slices.SortStableFunc(w.usable, func(a, c *page) int { return len(a.recs) - len(c.recs) })
+	return w
+}
+
+func (w *cycleWriter) add(r *rec) bool {
+	for {
+		if w.pager != nil && w.pager.Add(r.group, r.task.Index, r.attempt, r.m.name) {
+			w.cw.pages[len(w.cw.pages)-1].add(r)
+			w.cw.recs = append(w.cw.recs, r)
+			return true
+		}
+		w.close()
+		if len(w.out) >= min(w.h.p.TxnOps, max(1, txnBytes/w.h.p.ValueBytes)) {
+			return false
+		}
+		w.open()
+	}
+}
+
+// open begins the next page, with what it already holds.
+func (w *cycleWriter) open() {
+	w.pager = peer.NewPager(w.b.token, w.h.p.ValueBytes)
+	if len(w.usable) > 0 {
+		p := w.usable[0]
+		w.usable = w.usable[1:]
+		full := false
+		for _, r := range p.recs {
+			full = full || !w.pager.Add(r.group, r.task.Index, r.attempt, r.m.name)
+		}
+		if !full {
+			w.cw.pages = append(w.cw.pages, p)
+			return
+		}
+		// All the others are fuller still.
+		w.usable = nil
+		w.pager = peer.NewPager(w.b.token, w.h.p.ValueBytes)
+	}
+	w.b.pageSeq++
+	p := &page{key: RecordPrefix(w.b.id) + strconv.FormatUint(w.b.token, 10) + "-" + strconv.Itoa(w.b.pageSeq)}
+	w.b.pages = append(w.b.pages, p)
+	w.cw.pages = append(w.cw.pages, p)
+}
+
+func (w *cycleWriter) close() {
+	if w.pager == nil {
+		return
+	}
+	p := w.cw.pages[len(w.cw.pages)-1]
+	w.out = append(w.out, PageWrite{Key: p.key, Version: p.version, Page: w.pager.Page()})
+	w.pager = nil
+}
+
+func (w *cycleWriter) write() {
+	if w.close(); len(w.cw.recs) == 0 {
+		return
+	}
+	w.b.writeSeq++
+	w.b.writing = w.cw
+	w.h.emit(Record{Block: w.b.id, Token: w.b.token, Seq: w.cw.seq, Stamp: w.b.stamp, Pages: w.out})
+}
+
 // fit says whether a machine can be given tasks now.
 func (h *Holder) fit(now clock.Micros, m *machine) bool {
-	return m.shown && m.known && !m.drain && !m.notice && !m.gone && !m.lost && now-m.heard < 3*h.p.ReportTime
+	return m.shown && m.known && !m.drain && !m.notice && !m.gone && !m.lost && m.deaf == 0 && now-m.heard < 3*h.p.ReportTime
 }
 
+// room is what is free on a machine; kept until something changes there.
 func (h *Holder) room(m *machine) *placement.Machine {
+	if m.free != nil {
+		return m.free
+	}
 	t := h.types[m.typ]
 	pm := &placement.Machine{Name: m.name, Type: m.typ, Zone: m.zone, Spot: m.spot, CPUs: t.CPUs, GPUs: t.GPUs, Memory: t.MemoryGB}
 	for _, r := range m.recs {
@@ -502,6 +631,7 @@
 			pm.Unstarted++
 		}
 	}
+	m.free = pm
 	return pm
 }
 
@@ -515,28 +645,42 @@
 		h.void(b)
 		return
 	}
-	byMachine := map[string][]wire.Command{}
-	for _, name := range slices.Sorted(maps.Keys(b.machines)) {
-		mc := b.machines[name]
-		for _, k := range sortedRecs(mc) {
-			r := mc.recs[k]
-			if r.page != m.Key || r.state != recording {
-				continue
-			}
-			if !m.OK || r.stop > 0 || now >= b.expires || mc.gone || mc.lost || mc.session != r.session {
-				// Never ordered: it can run nowhere.
-				h.lose(b, mc, r, peer.Back)
-				continue
-			}
-			r.state = ordered
-			if mc.reachable() {
-				r.inflight++
-			}
-			byMachine[name] = append(byMachine[name], wire.Command{Op: wire.Run, Task: TaskName(r.task), Attempt: r.attempt})
+	w := b.writing
+	if w == nil || w.seq != m.Seq {
+		return
+	}
+	b.writing = nil
+	b.seq, b.tell = b.taken, true
+	for _, p := range w.pages {
+		// Without the new version no guard would protect the next write: what the
+		// page holds, before or after this one, covers all that may run.
+		if m.Revision > 0 {
+			p.version = m.Revision
+		} else if !m.Never {
+			p.fixed = true
+		}
+	}
+	var to []*machine
+	cmds := map[*machine][]wire.Command{}
+	for _, r := range w.recs {
+		mc := r.m
+		if !m.OK || r.stop > 0 || now >= b.expires || mc.gone || mc.lost || mc.session != r.session {
+			// Never ordered: it can run nowhere.
+			b.lose(r, peer.Back)
+			continue
+		}
+		r.state = ordered
+		if mc.reachable() {
+			r.inflight++
+			r.direct = true
 		}
+		if cmds[mc] == nil {
+			to = append(to, mc)
+		}
+		cmds[mc] = append(cmds[mc], r.run())
 	}
-	for _, name := range slices.Sorted(maps.Keys(byMachine)) {
-		h.direct(b, b.machines[name], byMachine[name])
+	for _, mc := range to {
+		h.direct(b, mc, cmds[mc])
 	}
 }
 
@@ -556,18 +700,6 @@
 		Body: wire.Orders{Token: b.token, Session: m.session, Commands: cmds}})
 }
 
-func sortedRecs(m *machine) []recKey {
-	return slices.SortedFunc(maps.Keys(m.recs), func(a, b recKey) int {
-		if c := strings.Compare(a.task.Job, b.task.Job); c != 0 {
-			return c
-		}
-		if a.task.Index != b.task.Index {
-			return a.task.Index - b.task.Index
-		}
-		return int(a.attempt) - int(b.attempt)
-	})
-}
-
 // answered handles the end of a direct command.
 func (h *Holder) answered(now clock.Micros, a Ordered) {
 	b := h.blocks[a.Block]
@@ -585,15 +717,39 @@
 	if a.Status == 200 || a.Status == 409 || a.Status == NotSent {
 		// Answered or never sent: this copy is carried out or never will be.
 		for _, c := range a.Body.Commands {
-			if t, ok := parseTask(c.Task); ok && c.Op == wire.Run {
-				if r := m.recs[recKey{t, c.Attempt}]; r != nil && r.inflight > 0 {
+			if c.Op == wire.Run {
+				if r := m.find(c.Attempt); r != nil && r.inflight > 0 {
 					r.inflight--
 				}
 			}
 		}
 	}
-	if a.R != nil {
-		h.observe(now, b, m, a.R, false)
+	if a.R == nil {
+		if m.unheard++; m.unheard >= deafAfter {
+			h.deafen(now, b, m)
+		}
+		return
+	}
+	// It hears: what it said proves that a command came through.
+	m.unheard = 0
+	if m.deaf > 0 {
+		m.deaf = 0
+		b.mark(m)
+	}
+	h.observe(now, b, m, a.R, false)
+}
+
+// deafAfter is how many direct commands in a row go without an answer before a
+// machine counts as deaf.
+const deafAfter = 2
+
+// deafen notes that a machine does not hear us, though its reports may come: it
+// gets no work until it has answered a command. Its tasks end with its lease; the
+// next session that it reports proves it.
+func (h *Holder) deafen(now clock.Micros, b *blk, m *machine) {
+	if m.deaf == 0 {
+		m.deaf = now
+		b.mark(m)
 	}
 }
 
@@ -603,7 +759,8 @@
 		h.emit(Answer{Tag: msg.Tag, Status: 503})
 		return
 	}
-	id := Of(msg.R.Machine, len(h.holders))
+	r := msg.R
+	id := Of(r.Machine, len(h.holders))
 	b := h.blocks[id]
 	if b == nil || now >= b.expires {
 		to := h.holders[id]
@@ -613,18 +770,29 @@
 		h.emit(Answer{Tag: msg.Tag, Status: 421, Redirect: wire.Redirect{ReportTo: to}})
 		return
 	}
-	if msg.R.Token > b.token {
+	if r.Token > b.token {
 		// A newer holder has spoken to this machine.
 		h.void(b)
 		h.emit(Answer{Tag: msg.Tag, Status: 421})
 		return
 	}
-	m := b.machine(msg.R.Machine)
+	m := b.machine(r.Machine)
 	if m.gone {
 		h.emit(Answer{Tag: msg.Tag, Status: 503})
 		return
 	}
-	cmds := h.observe(now, b, m, msg.R, true)
+	if r.Session < m.beatSession || r.Session == m.beatSession && r.Seq <= m.beatSeq {
+		// A late copy: the worker sends one report at a time and has sent a newer one
+		// since. Nobody waits for this answer; it neither renews a lease nor hides silence.
+		h.emit(Answer{Tag: msg.Tag, Status: 503})
+		return
+	}
+	m.beatSession, m.beatSeq = r.Session, r.Seq
+	if r.Session > m.session && m.session > 0 && m.answered > 0 && now-m.answered < h.p.Lease && m.shown {
+		// Its lease ran out although we answered: the answers do not arrive.
+		h.deafen(now, b, m)
+	}
+	cmds := h.observe(now, b, m, r, true)
 	m.answered = now
 	h.emit(Answer{Tag: msg.Tag, Status: 200, Body: wire.ReportAnswer{Token: b.token, Commands: cmds}})
 }
@@ -636,90 +804,98 @@
 	if r.Session < m.session || (r.Session == m.session && r.Seq <= m.seq) {
 		return none // older than what is known: it proves nothing
 	}
-	if m.typ != r.Type || m.notice != (r.NoticeS != nil) || !m.shown || m.lost || m.silent {
-		m.dirty = true
+	if m.typ != r.Type || m.notice != (r.NoticeS != nil) || m.lost || m.silent && m.deaf == 0 {
+		b.mark(m)
+		m.silent = m.silent && m.deaf > 0
 	}
 	m.session, m.seq = r.Session, r.Seq
 	m.address, m.typ, m.zone, m.spot = r.Address, r.Type, r.Zone, r.Spot
 	m.notice = r.NoticeS != nil
 	m.heard = now
-	m.lost, m.silent = false, false
+	m.lost = false
 	if r.Token != b.token {
 		// Not fenced yet: an older holder's commands may still be carried out.
 		return none
 	}
 	if !m.shown {
-		m.shown, m.dirty = true, true
+		m.shown = true
+		b.mark(m)
 	}
-	listed := make(map[recKey]*wire.TaskReport, len(r.Tasks))
 	cmds := none
+	listed := make([]bool, len(m.recs))
+	had := slices.Clone(m.recs)
+	next := 0
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
-		task, ok := parseTask(t.Task)
-		if !ok {
-			continue
-		}
-		k := recKey{task, t.Attempt}
-		listed[k] = t
-		if m.recs[k] == nil {
-			// Its record is gone, so its end was proven and stored; only what is left of it shows.
-			if t.State == wire.Exited {
-				cmds = append(cmds, wire.Command{Op: wire.Forget, Task: t.Task, Attempt: t.Attempt})
-			} else {
-				zero := 0.0
-				cmds = append(cmds, wire.Command{Op: wire.Kill, Task: t.Task, Attempt: t.Attempt, GraceS: &zero})
+		// Reports mostly list the tasks in the order in which they were given.
+		at := -1
+		for k := range had {
+			if x := (next + k) % len(had); had[x].attempt == t.Attempt {
+				at = x
+				break
 			}
 		}
-	}
-	for _, k := range sortedRecs(m) {
-		rc := m.recs[k]
-		if rc.state == recording {
+		if at >= 0 {
+			next = at + 1
+			if rc := had[at]; rc.state != recording {
+				listed[at] = true
+				if rc.inherited {
+					rc.session = m.session
+				}
+				cmds = h.present(now, b, m, rc, t, cmds)
+			}
 			continue
 		}
-		t := listed[k]
-		if t == nil {
-			h.absent(b, m, rc, beat)
-			if m.recs[k] != nil && rc.state == ordered && rc.stop == 0 {
-				// The direct order has not been seen: the same one again does no harm.
-				cmds = append(cmds, wire.Command{Op: wire.Run, Task: TaskName(rc.task), Attempt: rc.attempt})
-			}
+		// Its record is gone, so its end was proven and stored; only what is left of it shows.
+		if t.State == wire.Exited {
+			cmds = append(cmds, wire.Command{Op: wire.Forget, Task: t.Task, Attempt: t.Attempt})
+		} else {
+			zero := 0.0
+			cmds = append(cmds, wire.Command{Op: wire.Kill, Task: t.Task, Attempt: t.Attempt, GraceS: &zero})
+		}
+	}
+	for i, rc := range had {
+		if listed[i] || rc.state == recording {
 			continue
 		}
-		if rc.inherited && rc.session != m.session {
-			rc.session = m.session
+		if h.absent(m, rc, beat) {
+			b.lose(rc, peer.Back)
+		} else if rc.state == ordered && rc.stop == 0 {
+			// The direct order has not been seen: the same one again does no harm.
+			cmds = append(cmds, rc.run())
 		}
-		cmds = h.present(now, b, m, rc, t, cmds)
 	}
 	return cmds
 }
 
-// absent judges an attempt that a current report does not list.
-func (h *Holder) absent(b *blk, m *machine, rc *rec, beat bool) {
+// absent says whether an attempt that a current report does not list is gone.
+func (h *Holder) absent(m *machine, rc *rec, beat bool) bool {
 	switch {
 	case rc.inherited && rc.state == ordered:
-		// Ordered under an older token, which this machine obeys no more.
+		return true // ordered under an older token, which this machine obeys no more
 	case rc.session < m.session:
-		// The worker's lease ran out: all it had is gone, orders for that session are void.
+		return true // the worker's lease ran out: all it had is gone, orders for that session are void
 	case rc.inflight > 0:
-		return // the order may be carried out yet
+		return false // the order may be carried out yet
 	case rc.state == shown:
-		return // a worker never drops a task by itself within a session
+		return false // a worker never drops a task by itself within a session
 	case rc.state == ordered && (rc.stop == 0 || !beat):
 		// No direct order is on its way. One in a report's answer is carried out
 		// or dropped before the worker's next report of its own.
-		return
+		return false
 	}
-	h.lose(b, m, rc, peer.Back)
+	return true
 }
 
 func (h *Holder) present(now clock.Micros, b *blk, m *machine, rc *rec, t *wire.TaskReport, cmds []wire.Command) []wire.Command {
 	if t.State != wire.Exited {
 		if rc.state != shown {
 			rc.state = shown
-			m.dirty = true
+			b.mark(m)
 		}
 		if t.State == wire.Running && !rc.running {
-			rc.running, rc.startedAt, m.dirty = true, now, true
+			rc.running, rc.startedAt = true, now
+			b.mark(m)
 			// The image is there now: the report adds it to the machine's cached ones.
 			h.book.Seen(rc.group.Image, m.name, now)
 			b.events = append(b.events, peer.Event{Task: rc.task, Kind: peer.Running, Machine: m.name})
@@ -733,13 +909,15 @@
 		return cmds
 	}
 	if rc.state != exited {
-		rc.state, m.dirty = exited, true
+		rc.state = exited
+		b.mark(m)
 	}
 	if !rc.told {
 		ev := peer.Event{Task: rc.task, Machine: m.name}
 		switch t.Cause {
 		case wire.CauseDone:
 			ev.Kind = peer.Done
+			rc.done = true
 			if rc.startedAt > 0 {
 				ev.Secs = (now - rc.startedAt).Seconds()
 			}
@@ -751,96 +929,153 @@
 			rc.stored = true
 		}
 		b.tellEnd(rc, ev)
+		if rc.stored {
+			b.settle(rc)
+		}
 	}
-	// Forgetting lets a repeated run start it again, so no copy may be on its way.
-	if rc.stored && rc.inflight == 0 {
+	if rc.forgettable() {
 		cmds = append(cmds, wire.Command{Op: wire.Forget, Task: t.Task, Attempt: t.Attempt})
 	}
 	return cmds
 }
 
+// forgettable says whether a worker may forget an exited attempt. After that, a
+// copy of its run order that comes late would start it again. A completed task
+// exits at once then, its result being kept, which harms nobody unless its job was
+// cancelled; any other stays listed until the machine has shown a higher token
+// than the order's, which it obeys no more.
+func (r *rec) forgettable() bool {
+	return r.stored && r.inflight == 0 && (!r.direct || r.done && r.stop == 0)
+}
+
+// lingering is how many attempts that may not be forgotten yet a block keeps
+// before a higher token is asked for.
+const lingering = 100
+
 func (h *Holder) tick(now clock.Micros) {
 	if h.linked && now-h.renewed >= clock.Second {
 		h.sendRenew(now)
 	}
 	for _, id := range slices.Sorted(maps.Keys(h.blocks)) {
-		b := h.blocks[id]
-		for _, name := range slices.Sorted(maps.Keys(b.machines)) {
-			m := b.machines[name]
-			// Silence proves the end only after every grant that could have answered, and the worker's lease.
-			base := max(m.answered, b.since+h.p.GrantTime.Longer())
-			since := max(m.heard, b.since)
-			quiet := h.p.Lease * 11 / 20
-			if m.notice {
-				quiet = min(quiet, h.p.ReportTime*5/2) // announced, so it needs no second look
+		h.tickBlock(now, h.blocks[id])
+	}
+}
+
+func (h *Holder) tickBlock(now clock.Micros, b *blk) {
+	kept := 0
+	var buried []string
+	for _, m := range b.order {
+		for _, r := range m.recs {
+			if r.state == exited && r.stored && !r.forgettable() {
+				kept++
 			}
-			if silent := !m.gone && (m.heard > 0 || len(m.recs) > 0) && now-since > quiet; silent != m.silent {
-				m.silent, m.dirty = silent, true
+		}
+		if m.gone {
+			if len(m.recs) == 0 && now-m.heard > 10*60*clock.Second {
+				buried = append(buried, m.name)
 			}
-			if !m.gone && !m.lost && (m.heard > 0 || len(m.recs) > 0) && now > base+h.p.Lease.Longer()+clock.Second {
-				m.lost, m.dirty = true, true
-				for _, k := range sortedRecs(m) {
-					if r := m.recs[k]; r.state != recording {
-						h.lose(b, m, r, peer.Back)
-					}
+			continue
+		}
+		// Silence proves the end only after every grant that could have answered, and the worker's lease.
+		base := max(m.answered, b.since+h.p.GrantTime.Longer())
+		since := max(m.heard, b.since)
+		quiet := h.p.Lease * 11 / 20
+		if m.notice {
+			quiet = min(quiet, h.p.ReportTime*5/2) // announced, so it needs no second look
+		}
+		knows := m.heard > 0 || len(m.recs) > 0
+		silent := knows && now-since > quiet || m.deaf > 0 && now-m.deaf > quiet
+		if silent != m.silent {
+			m.silent = silent
+			b.mark(m)
+		}
+		if !m.lost && knows && now > base+h.p.Lease.Longer()+clock.Second {
+			m.lost = true
+			b.mark(m)
+			for _, r := range slices.Clone(m.recs) {
+				if r.state != recording {
+					b.lose(r, peer.Back)
 				}
 			}
-			if !m.shown && !m.lost && m.fenced > 0 && now-m.fenced > 4*clock.Second {
-				h.fence(now, b, m)
-			}
-			if m.gone && len(m.recs) == 0 && now-m.heard > 10*60*clock.Second {
-				delete(b.machines, name)
-			}
 		}
-		if n := len(b.erase); n > 0 && now < b.expires && (n >= h.p.TxnOps || now-b.erasedAt > 5*clock.Second) {
-			n = min(n, h.p.TxnOps)
-			h.emit(Erase{Block: b.id, Stamp: b.stamp, Keys: slices.Clone(b.erase[:n])})
-			b.erase = b.erase[n:]
-			b.erasedAt = now
+		if (!m.shown && !m.lost && m.fenced > 0 || m.deaf > 0) && now-m.fenced > 4*clock.Second {
+			h.fence(now, b, m)
+		}
+		if fit := h.fit(now, m); fit != m.wasFit {
+			b.mark(m)
 		}
 	}
+	for _, name := range buried {
+		delete(b.machines, name)
+		b.order = slices.DeleteFunc(b.order, func(m *machine) bool { return m.name == name })
+	}
+	if kept > lingering && !b.raise && h.linked {
+		b.raise = true
+		h.emit(Send{peer.Up{Epoch: h.epoch, Updates: []peer.BlockUpdate{{Block: b.id, Token: b.token, Lost: true}}}})
+	}
+	h.tidy(now, b)
 }
 
+// tidy erases pages that name no attempt any more.
+func (h *Holder) tidy(now clock.Micros, b *blk) {
+	b.pages = slices.DeleteFunc(b.pages, func(p *page) bool {
+		switch {
+		case len(p.recs) > 0 || b.writing != nil && slices.Contains(b.writing.pages, p):
+			p.empty = 0
+			return false
+		case p.empty == 0:
+			p.empty = now
+		}
+		if p.fixed || now-p.empty > 5*clock.Second {
+			b.erase = append(b.erase, p.key)
+			return true
+		}
+		return false
+	})
+	if n := len(b.erase); n > 0 && now < b.expires && (n >= h.p.TxnOps || now-b.erasedAt > 5*clock.Second) {
+		n = min(n, h.p.TxnOps)
+		h.emit(Erase{Block: b.id, Stamp: b.stamp, Keys: slices.Clone(b.erase[:n])})
+		b.erase = b.erase[n:]
+		b.erasedAt = now
+	}
+}
+
+// flushEvery is how long what the leader is to know is gathered, so that many
+// reports cost it one message; what it waits for goes at once.
+const flushEvery = 150 * clock.Millisecond
+
 // flush tells the leader what has changed.
 func (h *Holder) flush(now clock.Micros) {
 	if !h.linked {
 		return
 	}
-	room := now-h.flushed >= 200*clock.Millisecond
-	if room {
-		h.flushed = now
-	}
+	due := now-h.flushed >= flushEvery
 	var ups []peer.BlockUpdate
 	for _, id := range slices.Sorted(maps.Keys(h.blocks)) {
 		b := h.blocks[id]
-		if len(b.events) == 0 && !b.tell && !room {
+		if !b.tell && !(due && len(b.events)+len(b.changed) > 0) {
 			continue
 		}
 		u := peer.BlockUpdate{Block: id, Token: b.token, Seq: b.seq, Events: b.events}
-		for _, name := range slices.Sorted(maps.Keys(b.machines)) {
-			m := b.machines[name]
-			if fit := h.fit(now, m); m.dirty || fit != m.wasFit {
-				m.dirty, m.wasFit = false, fit
-				u.Machines = append(u.Machines, h.state(m, fit, now))
-			}
-		}
-		b.events = nil
-		if b.tell || len(u.Events)+len(u.Machines) > 0 {
-			b.tell = false
-			ups = append(ups, u)
+		for _, m := range b.changed {
+			m.dirty, m.wasFit = false, h.fit(now, m)
+			u.Machines = append(u.Machines, h.state(m))
 		}
+		b.events, b.changed, b.tell = nil, nil, false
+		ups = append(ups, u)
 	}
 	if len(ups) > 0 {
+		h.flushed = now
 		h.emit(Send{peer.Up{Epoch: h.epoch, StoreOK: h.storeOK(), Updates: ups}})
 	}
 }
 
-func (h *Holder) state(m *machine, fit bool, now clock.Micros) peer.MachineState {
+func (h *Holder) state(m *machine) peer.MachineState {
 	pm := h.room(m)
-	s := peer.MachineState{Name: m.name, Type: m.typ, Zone: m.zone, Address: m.address, Spot: m.spot, Fit: fit,
+	s := peer.MachineState{Name: m.name, Type: m.typ, Zone: m.zone, Address: m.address, Spot: m.spot, Fit: m.wasFit,
 		Draining: m.drain, Lost: m.lost, Silent: m.silent, Notice: m.notice, CPUs: pm.CPUs, GPUs: pm.GPUs, Memory: pm.Memory}
-	for _, k := range sortedRecs(m) {
-		if r := m.recs[k]; r.state != exited {
+	for _, r := range m.recs {
+		if r.state != exited {
 			s.Tasks++
 			if !slices.Contains(s.Images, r.group.Image) {
 				s.Images = append(s.Images, r.group.Image)
--- a/internal/block/holder_test.go
+++ b/internal/block/holder_test.go
@@ -20,8 +20,7 @@
 	h := New(Params{Node: "n0", GrantTime: 20 * clock.Second, Lease: 20 * clock.Second, ReportTime: 3 * clock.Second, ValueBytes: 4000, TxnOps: 8},
 		placement.Params{K: 0.001, Eta: 0.05, Epsilon: 0.01, Small: 0.5}, func() bool { return true })
 	h.Step(now, Linked{Epoch: 9})
-	page := peer.RecordPage{Groups: []peer.RecordGroup{{Job: task.Job, Team: "red", CPUs: 1,
-		Records: []peer.Record{{Index: 3, Attempt: 1, Machine: "m1"}, {Index: 3, Attempt: 2, Machine: "m2"}}}}}
+	page := peer.RecordPage{Machines: []string{"m1", "m2"}, Groups: []peer.RecordGroup{{Job: task.Job, Team: "red", CPUs: 1, Starts: []int{3, 1, 0, 3, 2, 1}}}}
 	h.Step(now, &peer.Down{Epoch: 9, Holders: []string{"n0"}, Types: []wire.MachineType{{Name: "small", CPUs: 4, MemoryGB: 8}},
 		Grants: []peer.Grant{{Block: 0, Token: 50, Stamp: 7, Machines: []peer.RosterMachine{{Name: "m1", Address: "a1"}, {Name: "m2"}}, Pages: map[string]peer.RecordPage{"run/000/1-1": page}}}})
 	h.Step(now, &peer.Down{Epoch: 9, Renewed: h.renew, Tokens: map[int]uint64{0: 50}})
@@ -32,6 +31,9 @@
 	return Report{Tag: machine, R: &wire.Report{Machine: machine, Address: "a", Type: "small", Session: 1, Seq: seq, Token: token, Tasks: tasks}}
 }
 
+// later is a time at which the leader is told of all that came before.
+func later(n int) clock.Micros { return now + clock.Micros(n)*flushEvery }
+
 func eventsOf(fx []any) (out []string) {
 	for _, e := range fx {
 		if s, ok := e.(Send); ok {
@@ -64,18 +66,18 @@
 // give the task back, or it would be started twice.
 func TestTaskComesBackWithItsLastAttemptOnly(t *testing.T) {
 	h := holding(t)
-	if ev := eventsOf(h.Step(now, beat("m1", 1, 50))); len(ev) != 0 {
+	if ev := eventsOf(h.Step(later(1), beat("m1", 1, 50))); len(ev) != 0 {
 		t.Errorf("events %v when a stale attempt is proven gone beside a live one", ev)
 	}
-	if ev := eventsOf(h.Step(now, beat("m2", 1, 50, running(2)))); len(ev) != 1 || ev[0] != peer.Running {
+	if ev := eventsOf(h.Step(later(2), beat("m2", 1, 50, running(2)))); len(ev) != 1 || ev[0] != peer.Running {
 		t.Errorf("events %v, want running", ev)
 	}
-	if ev := eventsOf(h.Step(now, beat("m2", 2, 50))); len(ev) != 0 {
+	if ev := eventsOf(h.Step(later(3), beat("m2", 2, 50))); len(ev) != 0 {
 		t.Errorf("events %v: an attempt that was shown cannot vanish within a session", ev)
 	}
 	two := beat("m2", 3, 50)
 	two.R.Session = 2
-	if ev := eventsOf(h.Step(now, two)); len(ev) != 1 || ev[0] != peer.Back {
+	if ev := eventsOf(h.Step(later(4), two)); len(ev) != 1 || ev[0] != peer.Back {
 		t.Errorf("events %v after the worker's lease ran out, want back", ev)
 	}
 }
@@ -110,7 +112,7 @@
 func TestForgetsAfterStored(t *testing.T) {
 	h := holding(t)
 	exit := wire.TaskReport{Task: TaskName(task), Attempt: 2, State: wire.Exited, Cause: wire.CauseDone}
-	fx := h.Step(now, beat("m2", 1, 50, exit))
+	fx := h.Step(later(1), beat("m2", 1, 50, exit))
 	if ev := eventsOf(fx); len(ev) != 1 || ev[0] != peer.Done {
 		t.Errorf("events %v, want done", ev)
 	}
--- a/internal/block/messages.go
+++ b/internal/block/messages.go
@@ -56,13 +56,16 @@
 		Inspect
 		R *wire.Report
 	}
-	// Recorded is the end of a start record's write.
+	// Recorded is the end of a cycle's write of start records. Revision is the new
+	// version of its pages, or 0 when it is not known.
 	Recorded struct {
-		Block  int
-		Token  uint64
-		Key    string
-		OK     bool
-		Fenced bool
+		Block    int
+		Token    uint64
+		Seq      int
+		OK       bool
+		Fenced   bool
+		Never    bool // certainly not carried out, nor will it be
+		Revision uint64
 	}
 	// Tick lets time pass.
 	Tick struct{}
@@ -93,13 +96,19 @@
 		Machine string
 		Address string
 	}
-	// Record is a start record to write before its tasks are ordered.
+	// Record writes a cycle's start records before its tasks are ordered.
 	Record struct {
 		Block int
 		Token uint64
-		Key   string
-		Page  peer.RecordPage
+		Seq   int
 		Stamp uint64
+		Pages []PageWrite
+	}
+	// PageWrite puts one page over what it held at Version.
+	PageWrite struct {
+		Key     string
+		Version uint64
+		Page    peer.RecordPage
 	}
 	// Erase removes start records whose tasks are proven gone.
 	Erase struct {
@@ -109,25 +118,51 @@
 	}
 )
 
-// Txn writes the record, guarded on the block's key and on its own absence.
+// Txn writes the pages, guarded on the block's key and on the version of each page:
+// a copy that is applied late must not put an older page over a newer one.
 func (r Record) Txn() (wire.Txn, error) {
-	raw, err := json.Marshal(r.Page)
-	if err != nil {
-		return wire.Txn{}, fmt.Errorf("start record %s: %w", r.Key, err)
+	t := wire.Txn{If: []wire.Guard{{Key: Key(r.Block), Version: r.Stamp}}}
+	for _, p := range r.Pages {
+		raw, err := json.Marshal(p.Page)
+		if err != nil {
+			return wire.Txn{}, fmt.Errorf("start records %s: %w", p.Key, err)
+		}
+		t.If = append(t.If, wire.Guard{Key: p.Key, Version: p.Version})
+		t.Then = append(t.Then, wire.Write{Put: p.Key, Value: raw})
 	}
-	return wire.Txn{If: []wire.Guard{{Key: Key(r.Block), Version: r.Stamp}, {Key: r.Key}},
-		Then: []wire.Write{{Put: r.Key, Value: raw}}}, nil
+	return t, nil
 }
 
-// Settled is what the outcome of the record's transaction means.
+// Settled is what the outcome of the transaction means. Only this grant's holder
+// writes its pages, one write at a time: when a page's guard fails, an earlier try
+// of the same write got no answer, but went through.
 func (r Record) Settled(o store.Outcome) Recorded {
-	done := Recorded{Block: r.Block, Token: r.Token, Key: r.Key, OK: o.OK, Fenced: o.FailedOn(Key(r.Block))}
-	if !done.Fenced && o.FailedOn(r.Key) {
-		done.OK = true // an earlier try of ours got no answer, but went through
+	done := Recorded{Block: r.Block, Token: r.Token, Seq: r.Seq, OK: o.OK, Fenced: o.FailedOn(Key(r.Block))}
+	if o.OK {
+		done.Revision = o.Revision
 	}
+	done.Never = !o.OK && !o.Unsure && len(o.Failed) == 0
+	done.OK = o.OK || !done.Fenced && o.Unsure && len(o.Failed) > 0
 	return done
 }
 
+// Pages reads start records; all of them, or it fails.
+func Pages(items []wire.Item) (map[string]peer.RecordPage, error) {
+	pages := make(map[string]peer.RecordPage, len(items))
+	for _, it := range items {
+		var p peer.RecordPage
+		err := json.Unmarshal(it.Value, &p)
+		if err == nil {
+			err = p.Check()
+		}
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", it.Key, err)
+		}
+		pages[it.Key] = p
+	}
+	return pages, nil
+}
+
 // Txn removes the records, guarded on the block's key.
 func (e Erase) Txn() wire.Txn {
 	t := wire.Txn{If: []wire.Guard{{Key: Key(e.Block), Version: e.Stamp}}}
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -10,6 +10,7 @@
 const (
 	Millisecond Micros = 1000
 	Second      Micros = 1000 * Millisecond
+	Minute      Micros = 60 * Second
 )
 
 // FromSeconds turns seconds into whole microseconds.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -84,6 +84,7 @@
 // Tuning is the operators' own file: what the design leaves open.
 type Tuning struct {
 	Placement Placement `yaml:"placement"`
+	Queues    Queues    `yaml:"queues"`
 	Grants    Grants    `yaml:"grants"`
 	Election  Election  `yaml:"election"`
 	Fleet     Fleet     `yaml:"fleet"`
@@ -98,6 +99,12 @@
 	CycleS  float64 `yaml:"cycle_s" validate:"gte=0.05,lte=10"`
 }
 
+// Queues tunes the order in which jobs are served when not all can be.
+type Queues struct {
+	StartWithinS float64 `yaml:"start_within_s" validate:"gt=0,lte=3600"`
+	LeastShare   float64 `yaml:"least_share" validate:"gte=0,lte=0.5"`
+}
+
 // Grants tunes how machines are leased out.
 type Grants struct {
 	Blocks int     `yaml:"blocks" validate:"gte=1,lte=64"`
@@ -125,6 +132,8 @@
 	t.Placement.Epsilon = 0.01
 	t.Placement.Small = 0.5
 	t.Placement.CycleS = 2
+	t.Queues.StartWithinS = 120
+	t.Queues.LeastShare = 0.1
 	t.Grants.Blocks = 6
 	t.Grants.TimeS = 30
 	t.Election.TTLS = 3
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"strconv"
 	"strings"
 
 	"swiftledge/internal/block"
@@ -64,6 +63,7 @@
 	name     string
 	rental   string
 	opt      fleet.Option
+	block    *lblock
 	born     clock.Micros
 	address  string
 	up       bool
@@ -87,8 +87,13 @@
 	rec   FleetRecord
 	busy  bool // a write or a request is under way
 	asked clock.Micros
+	// when machines that are gone were last taken out of its record
+	tidied clock.Micros
 }
 
+// refusal is how long an option is left alone that the cloud had too little of.
+type refusal struct{ until, wait clock.Micros }
+
 // Leader is the actor's state; it is made anew for each epoch.
 type Leader struct {
 	cfg                                                      *config.Config
@@ -109,9 +114,12 @@
 	gone                                                     map[string]bool
 	types                                                    map[string]wire.MachineType
 	typeList                                                 []wire.MachineType
-	refused                                                  map[string]clock.Micros // by option, until when not to ask again
+	refused                                                  map[string]refusal // by option
 	classes                                                  map[string]*classStat
 	rentSeq                                                  int
+	shelves                                                  []*shelf
+	shelfSeq                                                 int
+	progressAt, lastPlan                                     clock.Micros
 	found                                                    map[string]wire.Machine
 	lastList, lastCounts, lastState, lastFleet, lastSchedule clock.Micros
 	listing, deleting                                        bool
@@ -157,7 +165,7 @@
 func (l *Leader) reset() {
 	*l = Leader{cfg: l.cfg, within: l.within, teams: l.teams, self: l.self, storeOK: l.storeOK, nodes: map[string]*node{}, jobs: map[string]*job{}, usage: map[string]*use{},
 		machines: map[string]*machine{}, rentals: map[string]*rental{}, gone: map[string]bool{}, types: map[string]wire.MachineType{},
-		refused: map[string]clock.Micros{}, classes: map[string]*classStat{}, found: map[string]wire.Machine{}, counts: map[string]peer.TaskCount{}}
+		refused: map[string]refusal{}, classes: map[string]*classStat{}, found: map[string]wire.Machine{}, counts: map[string]peer.TaskCount{}}
 }
 
 // Step takes one message at a time.
@@ -311,26 +319,20 @@
 			}
 		}
 	}
-	var stale []wire.Write
 	for _, it := range m.Items {
 		if strings.HasPrefix(it.Key, ProgPrefix) {
-			ref, chunk, _ := strings.Cut(strings.TrimPrefix(it.Key, ProgPrefix), "/")
-			c, err := strconv.Atoi(chunk)
-			r, ok := decode[ProgRecord](l, it)
-			if err != nil || !ok {
-				continue
-			}
-			if j := l.jobs[ref]; j != nil {
-				j.loadChunk(c, r.Bits, it.Version)
-			} else {
-				stale = append(stale, wire.Write{Delete: it.Key})
+			if r, ok := decode[ProgRecord](l, it); ok {
+				l.loadShelf(it, r)
 			}
 		}
 	}
-	for len(stale) > 0 {
-		k := min(len(stale), l.cfg.Facts.State.TxnOps)
-		l.commit(store.Lazy, nil, nil, stale[:k])
-		stale = stale[k:]
+	for _, j := range l.jobs {
+		for i := range j.rec.Spec.Tasks {
+			if j.isDone(i) {
+				j.nDone++
+				j.okay = true
+			}
+		}
 	}
 	if !haveLayout {
 		l.commit(store.Urgent, nil, []wire.Guard{{Key: LayoutKey}}, []wire.Write{put(LayoutKey, LayoutRecord{n})})
@@ -445,9 +447,11 @@
 		l.stirred = true
 	}
 	l.assign(now)
-	for _, ref := range slices.Sorted(maps.Keys(l.jobs)) {
-		l.persist(now, l.jobs[ref])
+	refs := slices.Sorted(maps.Keys(l.jobs))
+	for _, ref := range refs {
+		l.end(l.jobs[ref])
 	}
+	l.progress(now, refs)
 	if now-l.lastCounts >= clock.Second {
 		l.lastCounts = now
 		l.tellCounts()
@@ -464,10 +468,10 @@
 	waiting, room, fit, full := 0, 0.0, 0, 0
 	blocked := 0
 	for _, j := range l.jobs {
-		waiting += len(j.waiting)
+		waiting += j.nWant
 		team := l.teams[j.rec.Spec.Team]
 		if u := l.usage[team.Name]; u != nil && !u.takes(&j.rec.Spec, team.CPUsMax, team.GPUsMax) {
-			blocked += len(j.waiting)
+			blocked += j.nWant
 		}
 	}
 	for _, m := range l.machines {
@@ -627,7 +631,11 @@
 	for _, pg := range m.Pages {
 		for i := range pg.Groups {
 			g := &pg.Groups[i]
-			for _, r := range g.Records {
+			records, err := pg.Records(g)
+			if err != nil {
+				l.info("start records", "error", err) // not reached: pages are checked when read
+			}
+			for _, r := range records {
 				t := peer.Task{Job: g.Job, Index: r.Index}
 				if b.tasks[t] != nil {
 					continue
@@ -658,10 +666,10 @@
 	}
 	b.state, b.known = granted, true
 	var names []string
-	for name := range l.machines {
-		if block.Of(name, len(l.blocks)) == b.id {
+	for name, mc := range l.machines {
+		if mc.block == b {
 			names = append(names, name)
-			if l.machines[name].drain {
+			if mc.drain {
 				b.orders.Drain = append(b.orders.Drain, name)
 			}
 		}
@@ -685,13 +693,19 @@
 }
 
 func (l *Leader) charge(h *held, sign float64) {
-	u := l.usage[h.team]
+	u := l.use(h.team)
+	u.cpus += sign * h.cpus
+	u.gpus += sign * h.gpus
+}
+
+// use is what a team's tasks take.
+func (l *Leader) use(team string) *use {
+	u := l.usage[team]
 	if u == nil {
 		u = &use{}
-		l.usage[h.team] = u
+		l.usage[team] = u
 	}
-	u.cpus += sign * h.cpus
-	u.gpus += sign * h.gpus
+	return u
 }
 
 // release takes a task out of a block's grant.
@@ -763,7 +777,7 @@
 		c.n++
 		c.ratio += (e.Secs/j.rec.Spec.EstimateS - c.ratio) / float64(min(c.n, 50))
 	}
-	l.persist(now, j)
+	l.end(j)
 }
 
 // flush sends what has gathered for the holders.
@@ -816,8 +830,10 @@
 	switch tag := m.Tag.(type) {
 	case blocksTag:
 		l.blocksWritten(now, tag, m.Outcome)
-	case persistTag:
-		l.persisted(now, tag, m)
+	case endTag:
+		l.ended(tag, m)
+	case progTag:
+		l.progressed(tag, m)
 	case fleetTag:
 		l.fleetWritten(now, tag, m)
 	}
@@ -840,7 +856,9 @@
 				b.state = loose
 			}
 		}
-	case persistTag:
-		l.reread(tag, m)
+	case endTag:
+		l.endRead(tag, m)
+	case progTag:
+		l.shelfRead(tag, m)
 	}
 }
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"testing"
 
 	"swiftledge/internal/block"
@@ -91,8 +92,8 @@
 	if n := offers(up(0)); n != 0 {
 		t.Fatalf("%d tasks offered while block 1 is not read", n)
 	}
-	fx := l.Step(now, Records{Epoch: 5, Block: 1, Token: l.blocks[1].token, Pages: map[string]peer.RecordPage{"run/001/1-1": {Groups: []peer.RecordGroup{
-		{Job: spec.Ref, Team: "red", CPUs: 1, Records: []peer.Record{{Index: 0, Attempt: 1, Machine: names[0]}}}}}}})
+	fx := l.Step(now, Records{Epoch: 5, Block: 1, Token: l.blocks[1].token, Pages: map[string]peer.RecordPage{"run/001/1-1": {Machines: names[:1],
+		Groups: []peer.RecordGroup{{Job: spec.Ref, Team: "red", CPUs: 1, Starts: []int{0, 1, 0}}}}}})
 	if n := offers(fx); n != 1 {
 		t.Errorf("%d tasks offered, want the one that no record names", n)
 	}
@@ -101,31 +102,31 @@
 // An abort that is seen while a progress write is under way stops the tasks.
 func TestAbortDuringProgressWrite(t *testing.T) {
 	l := leading(t)
-	page := peer.RecordPage{Groups: []peer.RecordGroup{{Job: spec.Ref, Team: "red", CPUs: 1, Records: []peer.Record{
-		{Index: 0, Attempt: 1, Machine: names[0]}, {Index: 1, Attempt: 2, Machine: names[0]}}}}}
+	page := peer.RecordPage{Machines: names[:1], Groups: []peer.RecordGroup{{Job: spec.Ref, Team: "red", CPUs: 1, Starts: []int{0, 1, 0, 1, 2, 0}}}}
 	b := block.Of(names[0], 2)
 	l.Step(began, Records{Epoch: 5, Block: b, Token: l.blocks[b].token, Pages: map[string]peer.RecordPage{"p": page}})
 	l.Step(began, Records{Epoch: 5, Block: 1 - b, Token: l.blocks[1-b].token})
 	fx := l.Step(began, Said{Node: "n0", Link: "link", Up: &peer.Up{Epoch: 5, Updates: []peer.BlockUpdate{{Block: b, Token: l.blocks[b].token,
 		Events: []peer.Event{{Task: peer.Task{Job: spec.Ref, Index: 0}, Kind: peer.Done, Machine: names[0]}}}}}})
 	writes := 0
-	for _, e := range fx {
-		if c, ok := e.(Commit); ok && c.Txn.Then[0].Put == progKey(spec.Ref, 0) {
+	for _, e := range append(fx, l.Step(began+progressEvery, Tick{})...) {
+		if c, ok := e.(Commit); ok && strings.HasPrefix(c.Txn.Then[0].Put, ProgPrefix) {
 			writes++
 		}
 	}
-	if writes != 1 || !l.jobs[spec.Ref].saving {
+	if writes != 1 || !l.shelves[0].busy {
 		t.Fatalf("%d progress writes under way, want 1", writes)
 	}
 	var stopped []peer.StopTask
-	for _, e := range l.Step(began, Watched{Epoch: 5, Events: []wire.Event{{Delete: JobPrefix + spec.Ref, Version: 20}}}) {
+	for _, e := range l.Step(began+progressEvery, Watched{Epoch: 5, Events: []wire.Event{{Delete: JobPrefix + spec.Ref, Version: 20}}}) {
 		if x, ok := e.(Tell); ok {
 			for _, o := range x.Down.Orders {
 				stopped = append(stopped, o.Stop...)
 			}
 		}
 	}
-	if len(stopped) != 1 || stopped[0].Index != 1 {
-		t.Errorf("stops %v, want task 1", stopped)
+	// The completed one, too: it must stay listed while a copy of its order can come late.
+	if len(stopped) != 2 || stopped[0].Index != 1 || stopped[1].Index != 0 {
+		t.Errorf("stops %v, want tasks 1 and 0", stopped)
 	}
 }
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -5,7 +5,6 @@
 	"maps"
 	"slices"
 
-	"swiftledge/internal/block"
 	"swiftledge/internal/clock"
 	"swiftledge/internal/fleet"
 	"swiftledge/internal/peer"
@@ -13,8 +12,6 @@
 	"swiftledge/wire"
 )
 
-func (l *Leader) blockOf(machine string) *lblock { return l.blocks[block.Of(machine, len(l.blocks))] }
-
 type fleetTag struct{ key string }
 
 func (l *Leader) loadRental(now clock.Micros, it wire.Item, r FleetRecord) {
@@ -43,7 +40,7 @@
 	if l.machines[name] != nil {
 		return
 	}
-	l.machines[name] = &machine{name: name, rental: rt.key, opt: l.option(rt.rec.Rental), born: now, idle: now}
+	l.machines[name] = &machine{name: name, rental: rt.key, opt: l.option(rt.rec.Rental), block: l.blockOf(name), born: now, idle: now}
 	delete(l.found, name)
 	if b := l.blockOf(name); b.state == granted {
 		b.orders.Use = append(b.orders.Use, name)
@@ -78,7 +75,7 @@
 
 // saveTasks stops the tasks that can save their progress before their machine goes.
 func (l *Leader) saveTasks(m *machine) {
-	b := l.blockOf(m.name)
+	b := m.block
 	for t, h := range b.tasks {
 		if j := l.jobs[t.Job]; h.machine == m.name && j != nil && j.rec.Spec.CheckpointS > 0 {
 			b.orders.Stop = append(b.orders.Stop, peer.StopTask{Task: t, Save: true})
@@ -88,7 +85,7 @@
 
 func (l *Leader) drain(m *machine, why string) {
 	m.drain = true
-	b := l.blockOf(m.name)
+	b := m.block
 	b.orders.Drain = append(b.orders.Drain, m.name)
 	l.saveTasks(m)
 	l.info("draining machine", "machine", m.name, "why", why)
@@ -157,11 +154,12 @@
 				l.emit(Rent{l.epoch, rt.rec.Rental})
 			}
 		} else if !rt.busy {
-			l.tidyRental(rt)
+			l.tidyRental(now, rt)
 		}
 	}
 	doomed := l.doomed(now)
-	if len(doomed) == 0 && pending < 4 {
+	if len(doomed) == 0 && pending < 4 && now-l.lastPlan >= clock.Second {
+		l.lastPlan = now
 		doomed = l.plan(now)
 	}
 	if len(doomed) > 0 && !l.deleting {
@@ -205,12 +203,17 @@
 	l.commit(store.Starts, fleetTag{rt.key}, []wire.Guard{{Key: rt.key, Version: rt.stamp}}, []wire.Write{put(rt.key, rt.rec)})
 }
 
+// tidyEvery is how long machines that are gone may stay in the roster: there they do
+// no harm but to a new leader, which waits for them a while, and each write costs a put.
+const tidyEvery = 20 * clock.Second
+
 // tidyRental takes machines that are gone out of the durable roster.
-func (l *Leader) tidyRental(rt *rental) {
+func (l *Leader) tidyRental(now clock.Micros, rt *rental) {
 	left := slices.DeleteFunc(slices.Clone(rt.rec.Machines), func(n string) bool { return l.gone[n] })
-	if len(left) == len(rt.rec.Machines) && len(left) > 0 {
+	if len(left) > 0 && (len(left) == len(rt.rec.Machines) || now-rt.tidied < tidyEvery) {
 		return
 	}
+	rt.tidied = now
 	rt.rec.Machines = left
 	if len(left) == 0 {
 		delete(l.rentals, rt.key)
@@ -257,23 +260,35 @@
 	switch {
 	case m.Err == nil:
 		rt.rec.Machines, rt.rec.Asked = m.Machines, true
-		if len(m.Machines) < rt.rec.Rental.Count {
-			l.refused[optionKey(l.option(rt.rec.Rental))] = now + 15*clock.Second
-		}
+		l.answered(now, rt, len(m.Machines) < rt.rec.Rental.Count)
 		l.emit(Log{Debug: true, Text: "rented", Args: []any{"request", m.Request, "count", len(m.Machines), "type", rt.rec.Rental.Type, "spot", rt.rec.Rental.Spot}})
 		if len(m.Machines) == 0 {
-			l.tidyRental(rt)
+			l.tidyRental(now, rt)
 			return
 		}
 		l.writeRental(rt)
 	case m.NoCapacity:
-		l.refused[optionKey(l.option(rt.rec.Rental))] = now + 15*clock.Second
+		l.answered(now, rt, true)
 		rt.rec.Asked = true
-		l.tidyRental(rt)
+		l.tidyRental(now, rt)
 	}
 	// Any other failure: asked again under the same name after a while.
 }
 
+// answered notes whether an option had all that was asked for. One that had not is
+// left alone for a while, longer each time: every try costs puts and cloud calls.
+func (l *Leader) answered(now clock.Micros, rt *rental, short bool) {
+	k := optionKey(l.option(rt.rec.Rental))
+	if !short {
+		delete(l.refused, k)
+		return
+	}
+	r := l.refused[k]
+	r.wait = min(max(2*r.wait, 10*clock.Second), clock.Minute)
+	r.until = now + r.wait
+	l.refused[k] = r
+}
+
 func (l *Leader) deleted(now clock.Micros, m Deleted) {
 	l.deleting = false
 	for _, name := range m.Machines {
@@ -298,7 +313,7 @@
 	silent := map[*lblock]int{}
 	up := map[*lblock]int{}
 	for _, m := range l.machines {
-		b := l.blockOf(m.name)
+		b := m.block
 		// Those that gave notice are expected to fall silent, many at once too.
 		if m.up && !m.state.Notice {
 			up[b]++
@@ -311,7 +326,7 @@
 	var out []string
 	for _, name := range slices.Sorted(maps.Keys(l.machines)) {
 		m := l.machines[name]
-		b := l.blockOf(name)
+		b := m.block
 		if m.deleting {
 			continue
 		}
@@ -384,7 +399,7 @@
 		if m.deleting || m.drain || m.state.Notice || m.state.Silent {
 			continue
 		}
-		idle := m.up && m.state.Tasks == 0 && !l.blockOf(name).offered
+		idle := m.up && m.state.Tasks == 0 && !m.block.offered
 		wait := idleFor
 		if !m.opt.Spot {
 			wait = idleFor / 5
@@ -407,7 +422,7 @@
 	}
 	rent, giveBack, shun := fleet.Plan(flat, supply, opts,
 		fleet.Params{SpotClearS: l.cfg.Tuning.Fleet.SpotClearS, OrdinaryClearS: l.cfg.Tuning.Fleet.OrdinaryClearS},
-		func(o fleet.Option) bool { return now >= l.refused[optionKey(o)] })
+		func(o fleet.Option) bool { return now >= l.refused[optionKey(o)].until })
 	for _, m := range l.machines {
 		m.shun = false
 	}
--- a/internal/leader/messages.go
+++ b/internal/leader/messages.go
@@ -33,12 +33,19 @@
 	Tasks int    `json:"tasks"`
 }
 
-// ProgRecord is the value of prog/<ref>/<chunk>: a bit for each completed task.
+// ProgRecord is the value of a prog/ key: completed tasks of several jobs.
 type ProgRecord struct {
-	Bits []byte `json:"b"`
+	Units []ProgUnit `json:"u"`
 }
 
-// ChunkTasks is how many tasks' bits one prog/ key holds.
+// ProgUnit has a bit for each completed task of a range of a job's tasks.
+type ProgUnit struct {
+	Job   string `json:"j"`
+	Chunk int    `json:"c,omitempty"`
+	Bits  []byte `json:"b"`
+}
+
+// ChunkTasks is how many tasks' bits are stored as one.
 const ChunkTasks = 8192
 
 // BlockRecord is the value of block/<n>.
--- /dev/null
+++ b/internal/leader/progress.go
@@ -0,0 +1,181 @@
+package leader
+
+import (
+	"slices"
+	"strconv"
+
+	"swiftledge/internal/clock"
+	"swiftledge/internal/peer"
+	"swiftledge/internal/store"
+	"swiftledge/wire"
+)
+
+// progressEvery is how long completed tasks may wait for their progress write;
+// until then they stay listed on their workers, so nothing is lost.
+const progressEvery = 5 * clock.Second
+
+// shelf is one key of progress. It holds chunks of several jobs, so that what one
+// write costs does not grow with the number of jobs.
+type shelf struct {
+	key   string
+	stamp uint64
+	units []shelfUnit
+	size  int
+	dirty bool // a chunk is to be written or removed
+	busy  bool
+}
+
+type shelfUnit struct {
+	j     *job
+	chunk int
+}
+
+func chunkBytes(n int) int { return (n+2)/3*4 + 48 }
+
+// place finds a shelf with room for a chunk.
+func (l *Leader) place(j *job, c int) *shelf {
+	need := chunkBytes(len(j.chunks[c].done))
+	most := int(l.cfg.Facts.State.ValueKB * 1024 * 0.9)
+	for _, s := range l.shelves {
+		if s.size+need <= most {
+			s.put(j, c)
+			return s
+		}
+	}
+	l.shelfSeq++
+	s := &shelf{key: ProgPrefix + strconv.FormatUint(l.epoch, 10) + "-" + strconv.Itoa(l.shelfSeq), size: 32}
+	l.shelves = append(l.shelves, s)
+	s.put(j, c)
+	return s
+}
+
+func (s *shelf) put(j *job, c int) {
+	s.units = append(s.units, shelfUnit{j, c})
+	s.size += chunkBytes(len(j.chunks[c].done))
+	j.chunks[c].shelf = s
+}
+
+// leaveShelves takes a job that is over off its shelves; they are written without it in time.
+func (j *job) leaveShelves() {
+	for c := range j.chunks {
+		s := j.chunks[c].shelf
+		if s == nil {
+			continue
+		}
+		s.units = slices.DeleteFunc(s.units, func(u shelfUnit) bool { return u.j == j && u.chunk == c })
+		s.size -= chunkBytes(len(j.chunks[c].done))
+		s.dirty = true
+		j.chunks[c].shelf = nil
+	}
+}
+
+// loadShelf takes in progress as an earlier leader stored it.
+func (l *Leader) loadShelf(it wire.Item, r ProgRecord) {
+	s := &shelf{key: it.Key, stamp: it.Version, size: 32}
+	l.shelves = append(l.shelves, s)
+	for _, u := range r.Units {
+		j := l.jobs[u.Job]
+		if j == nil || u.Chunk < 0 || u.Chunk >= len(j.chunks) {
+			s.dirty = true // of a job that is over
+			continue
+		}
+		ch := &j.chunks[u.Chunk]
+		for i := range ch.done[:min(len(ch.done), len(u.Bits))] {
+			ch.done[i] |= u.Bits[i]
+			ch.saved[i] |= u.Bits[i]
+		}
+		if ch.shelf == nil {
+			s.put(j, u.Chunk)
+		} else {
+			s.dirty = true // on two shelves: one of them is enough
+			ch.shelf.dirty = true
+		}
+	}
+}
+
+type progTag struct {
+	shelf *shelf
+	units []shelfUnit
+	bits  [][]byte
+}
+
+// progress writes completed tasks now and then, many jobs in one value.
+func (l *Leader) progress(now clock.Micros, refs []string) {
+	if now-l.progressAt < progressEvery {
+		return
+	}
+	l.progressAt = now
+	for _, ref := range refs {
+		j := l.jobs[ref]
+		for c := range j.chunks {
+			ch := &j.chunks[c]
+			// What ends now needs no progress.
+			if !ch.dirty || j.ending {
+				continue
+			}
+			if ch.shelf == nil {
+				l.place(j, c)
+			}
+			ch.shelf.dirty = true
+		}
+	}
+	l.shelves = slices.DeleteFunc(l.shelves, func(s *shelf) bool {
+		if s.busy || !s.dirty || len(s.units) > 0 {
+			return false
+		}
+		if s.stamp > 0 {
+			l.commit(store.Lazy, nil, nil, []wire.Write{{Delete: s.key}})
+		}
+		return true
+	})
+	for _, s := range l.shelves {
+		if s.busy || !s.dirty {
+			continue
+		}
+		s.busy, s.dirty = true, false
+		tag := progTag{shelf: s, units: slices.Clone(s.units)}
+		var r ProgRecord
+		for _, u := range s.units {
+			ch := &u.j.chunks[u.chunk]
+			ch.dirty = false
+			bits := slices.Clone(ch.done)
+			tag.bits = append(tag.bits, bits)
+			r.Units = append(r.Units, ProgUnit{Job: u.j.rec.Spec.Ref, Chunk: u.chunk, Bits: bits})
+		}
+		// A late copy of an older write must not take back what was said to be stored.
+		l.commit(store.Lazy, tag, []wire.Guard{{Key: s.key, Version: s.stamp}}, []wire.Write{put(s.key, r)})
+	}
+}
+
+func (l *Leader) progressed(tag progTag, m Committed) {
+	s := tag.shelf
+	if m.Outcome.OK {
+		s.busy, s.stamp = false, m.Outcome.Revision
+		saved := map[string]*job{}
+		for i, u := range tag.units {
+			copy(u.j.chunks[u.chunk].saved, tag.bits[i])
+			saved[u.j.rec.Spec.Ref] = u.j
+		}
+		for _, b := range l.blocks {
+			b.ack(func(t peer.Task) bool {
+				j := saved[t.Job]
+				return j != nil && j.stored(t.Index)
+			})
+		}
+		return
+	}
+	for _, u := range tag.units {
+		u.j.chunks[u.chunk].dirty = true
+	}
+	s.dirty = true
+	if len(m.Outcome.Failed) > 0 {
+		l.emit(ReadKey{l.epoch, s.key, tag})
+		return
+	}
+	s.busy = false
+}
+
+// shelfRead goes on after the guard failed on what an unanswered write of ours did.
+func (l *Leader) shelfRead(tag progTag, m Read) {
+	tag.shelf.busy, tag.shelf.stamp = false, m.Item.Version
+}
--- /dev/null
+++ b/internal/leader/schedule.go
@@ -0,0 +1,368 @@
+package leader
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+
+	"swiftledge/internal/block"
+	"swiftledge/internal/clock"
+	"swiftledge/internal/config"
+	"swiftledge/internal/peer"
+	"swiftledge/wire"
+)
+
+// queueKey orders a team's jobs: those that can still be in time before those
+// that cannot, then by priority, then by the latest start that is in time, then
+// by submission. A job without a deadline of its own has that of its class's
+// objective.
+func (l *Leader) queueKey(age float64, j *job) [4]float64 {
+	s := &j.rec.Spec
+	due := math.Inf(1)
+	if s.DeadlineS != nil {
+		due = *s.DeadlineS
+	} else if o, ok := l.within[s.Class]; ok {
+		due = o
+	}
+	// The least time in which the rest can be done within the team's limit.
+	need := l.remaining(j)
+	if most := l.teams[s.Team].CPUsMax; most > 0 {
+		need = max(need, float64(s.Tasks-j.nDone)*s.CPUs*need/most)
+	}
+	rank := wire.Rank(s.Priority)
+	late := 0.0
+	if rank >= wire.Rank(wire.Standard) && age+need > due {
+		late = 1
+	}
+	third := due - age - need
+	if s.DeadlineS == nil {
+		third = need
+	}
+	return [4]float64{late, float64(rank), third, -age}
+}
+
+type queued struct {
+	j     *job
+	key   [4]float64
+	aged  bool // it has waited long: its kind of job has a least share
+	spent bool // nothing of it can be handed out in this round
+}
+
+func (q *queued) rank() float64 { return q.key[1] }
+
+// teamQueue is one team's jobs in their order.
+type teamQueue struct {
+	team config.Team
+	u    *use
+	q    []*queued
+	// What its classes use, and under "" what jobs use that have waited long.
+	use map[string]float64
+}
+
+const aged = ""
+
+// next gives the job whose turn it is. Order alone would starve what always comes
+// last: the largest, those already late, a class of low priority. So a job that has
+// not begun in time goes first with one task, and each class, and what has waited
+// long, has a least share of what its team uses.
+func (t *teamQueue) next(floor float64) (pick *queued, least bool) {
+	t.q = slices.DeleteFunc(t.q, func(q *queued) bool { return q.spent || q.j.nWant == 0 })
+	for _, q := range t.q {
+		if q.aged && !q.j.begun() {
+			return q, true
+		}
+	}
+	seen := map[string]bool{}
+	for _, q := range t.q {
+		if c := q.j.rec.Spec.Class; !seen[c] {
+			seen[c] = true
+			if t.use[c] < floor*t.u.cpus {
+				return q, false
+			}
+		}
+		if q.aged && !seen[aged] {
+			seen[aged] = true
+			if t.use[aged] < floor*t.u.cpus {
+				return q, false
+			}
+		}
+	}
+	if len(t.q) == 0 {
+		return nil, false
+	}
+	return t.q[0], false
+}
+
+// gather is how long room that comes free is collected before it is offered, so
+// that one start record serves several tasks. New jobs do not wait for it.
+const gather = 120 * clock.Millisecond
+
+// batch is how many tasks of a job go at once before another's turn is looked at.
+const batch = 8
+
+type offerKey struct {
+	block int
+	job   string
+	zone  string
+}
+
+// schedule hands waiting tasks to blocks with room: teams in turn by their
+// shares, guarantees first.
+func (l *Leader) schedule(now clock.Micros) {
+	if !l.stirred || !l.urgent && now-l.lastSchedule < gather {
+		return
+	}
+	// Until every block's start records are read, a task that waits here may run
+	// in one of them, and the teams' use is not known.
+	if slices.ContainsFunc(l.blocks, func(b *lblock) bool { return !b.known }) {
+		return
+	}
+	l.stirred, l.urgent = false, false
+	l.lastSchedule = now
+	room := l.freeRoom()
+	if len(room.ms) == 0 {
+		return
+	}
+	queues := l.queues(now)
+	offers := map[offerKey]int{}
+	floor := l.cfg.Tuning.Queues.LeastShare
+	for {
+		var best *teamQueue
+		var job *queued
+		var bestKey [4]float64
+		one := false
+		for _, t := range queues {
+			q, first := t.next(floor)
+			// What the limit holds back must not be passed by smaller tasks of
+			// less important jobs, which would take every bit of room that comes free.
+			for q != nil && !t.u.takes(&q.j.rec.Spec, t.team.CPUsMax, t.team.GPUsMax) {
+				q.spent = true
+				for _, o := range t.q {
+					o.spent = o.spent || o.rank() > q.rank()
+				}
+				q, first = t.next(floor)
+			}
+			if q == nil {
+				continue
+			}
+			key := [4]float64{1, 0, t.q[0].rank(), t.u.cpus / max(t.team.CPUs, 1)}
+			if first {
+				key[0] = 0
+			}
+			if !t.u.takes(&q.j.rec.Spec, t.team.CPUs, t.team.GPUs) {
+				key[1] = 1
+			}
+			if best == nil || slices.Compare(key[:], bestKey[:]) < 0 {
+				best, job, bestKey, one = t, q, key, first
+			}
+		}
+		if best == nil {
+			break
+		}
+		n := batch
+		if one {
+			n = 1
+		}
+		given := l.give(now, best, job.j, room, offers, n)
+		if given == 0 {
+			job.spent = true
+			continue
+		}
+		cpus := float64(given) * job.j.rec.Spec.CPUs
+		best.use[job.j.rec.Spec.Class] += cpus
+		if job.aged {
+			best.use[aged] += cpus
+		}
+	}
+	for _, b := range l.blocks {
+		if len(b.orders.Offers) > 0 {
+			b.offerSeq++
+			b.orders.Seq = b.offerSeq
+			b.offered = true
+		}
+	}
+}
+
+// queues sorts the jobs that wait by team.
+func (l *Leader) queues(now clock.Micros) []*teamQueue {
+	byTeam := map[string]*teamQueue{}
+	old := l.cfg.Tuning.Queues.StartWithinS
+	for _, ref := range slices.Sorted(maps.Keys(l.jobs)) {
+		j := l.jobs[ref]
+		s := &j.rec.Spec
+		t := byTeam[s.Team]
+		if t == nil {
+			t = &teamQueue{team: l.teams[s.Team], u: l.use(s.Team), use: map[string]float64{}}
+			byTeam[s.Team] = t
+		}
+		age := (now + l.wall - j.rec.At).Seconds()
+		cpus := float64(len(j.out)) * s.CPUs
+		t.use[s.Class] += cpus
+		if age > old {
+			t.use[aged] += cpus
+		}
+		if j.nWant > 0 && now >= j.notBefore && !j.cancelled {
+			t.q = append(t.q, &queued{j: j, key: l.queueKey(age, j), aged: age > old})
+		}
+	}
+	var out []*teamQueue
+	for _, name := range slices.Sorted(maps.Keys(byTeam)) {
+		if t := byTeam[name]; len(t.q) > 0 {
+			slices.SortStableFunc(t.q, func(a, b *queued) int { return slices.Compare(a.key[:], b.key[:]) })
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+// give hands up to n tasks of a job to one machine's block and says how many.
+func (l *Leader) give(now clock.Micros, t *teamQueue, j *job, room *freeRoom, offers map[offerKey]int, n int) int {
+	s := &j.rec.Spec
+	m, zone := l.roomFor(j, room)
+	if m == nil {
+		return 0
+	}
+	if s.OneZone || s.Spread {
+		n = 1 // each task changes where the next may be
+	}
+	b := m.block
+	given := 0
+	for given < n && m.holds(s) && t.u.takes(s, t.team.CPUsMax, t.team.GPUsMax) {
+		i := j.take()
+		if i < 0 {
+			break
+		}
+		if j.isDone(i) || j.out[i] > 0 {
+			continue
+		}
+		m.cpus -= s.CPUs
+		m.gpus -= s.GPUs
+		m.mem -= s.MemoryGB
+		h := &held{team: s.Team, cpus: s.CPUs, gpus: s.GPUs, zone: zone, since: now}
+		b.tasks[peer.Task{Job: s.Ref, Index: i}] = h
+		l.charge(h, 1)
+		j.out[i]++
+		k := offerKey{b.id, s.Ref, zone}
+		at, ok := offers[k]
+		if !ok {
+			at = len(b.orders.Offers)
+			offers[k] = at
+			b.orders.Offers = append(b.orders.Offers, peer.Offer{Job: *s, Zone: zone})
+		}
+		b.orders.Offers[at].Indexes = append(b.orders.Offers[at].Indexes, i)
+		given++
+	}
+	return given
+}
+
+// freeRoom is what can be offered in one round. Room only shrinks while offers are
+// made, so a machine that was too full for a shape of task is not looked at again.
+type freeRoom struct {
+	ms      []*machine // the cheapest first, the fullest first among these
+	byImage map[string][]*machine
+	passed  map[string]int
+}
+
+func (l *Leader) freeRoom() *freeRoom {
+	r := &freeRoom{byImage: map[string][]*machine{}, passed: map[string]int{}}
+	for _, m := range l.machines {
+		if m.state.Fit && !m.drain && !m.shun && !m.deleting && m.state.CPUs > 0 && m.block.state == granted && !m.block.offered {
+			m.cpus, m.gpus, m.mem = m.state.CPUs, m.state.GPUs, m.state.Memory
+			r.ms = append(r.ms, m)
+		}
+	}
+	slices.SortFunc(r.ms, func(a, b *machine) int {
+		if c := cmp.Compare(a.opt.Price()/max(a.opt.Type.CPUs, 1), b.opt.Price()/max(b.opt.Type.CPUs, 1)); c != 0 {
+			return c
+		}
+		if c := cmp.Compare(a.cpus, b.cpus); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.name, b.name)
+	})
+	for _, m := range r.ms {
+		for _, image := range m.state.Images {
+			r.byImage[image] = append(r.byImage[image], m)
+		}
+	}
+	return r
+}
+
+// holds says whether a task fits into what is left of the machine.
+func (m *machine) holds(s *wire.Job) bool {
+	return m.cpus+1e-9 >= s.CPUs && m.gpus+1e-9 >= s.GPUs && m.mem+1e-9 >= s.MemoryGB
+}
+
+func (m *machine) allowed(s *wire.Job) bool {
+	return (s.Spot || !m.opt.Spot) && (s.Zone == "" || s.Zone == m.opt.Zone) &&
+		(len(s.Types) == 0 || slices.Contains(s.Types, m.opt.Type.Name))
+}
+
+// first finds the first machine of a list that takes a task of the job.
+func (r *freeRoom) first(list []*machine, shape string, j *job) *machine {
+	s := &j.rec.Spec
+	for i := r.passed[shape]; i < len(list); i++ {
+		if m := list[i]; m.holds(s) && m.allowed(s) {
+			if len(j.errAt) == 0 || !j.errAt[m.name] {
+				return m
+			}
+		} else if i == r.passed[shape] {
+			r.passed[shape] = i + 1
+		}
+	}
+	return nil
+}
+
+// roomFor finds the machine whose room the next task of a job takes, and the
+// zone that the task is bound to, if any.
+func (l *Leader) roomFor(j *job, room *freeRoom) (*machine, string) {
+	s := &j.rec.Spec
+	if s.OneZone || s.Spread {
+		return l.roomInZone(j, room)
+	}
+	shape := fmt.Sprint(s.CPUs, s.GPUs, s.MemoryGB, s.Types, s.Zone, s.Spot)
+	if m := room.first(room.byImage[s.Image], s.Image+" "+shape, j); m != nil {
+		return m, ""
+	}
+	if m := room.first(room.ms, shape, j); m != nil {
+		return m, ""
+	}
+	// Better where it failed before than nowhere.
+	for _, m := range room.ms {
+		if j.errAt[m.name] && m.holds(s) && m.allowed(s) {
+			return m, ""
+		}
+	}
+	return nil, ""
+}
+
+// roomInZone is roomFor for jobs whose tasks bind each other's zone.
+func (l *Leader) roomInZone(j *job, room *freeRoom) (*machine, string) {
+	s := &j.rec.Spec
+	inZone := map[string]int{}
+	for i := range j.out {
+		for _, b := range l.blocks {
+			if h := b.tasks[peer.Task{Job: s.Ref, Index: i}]; h != nil {
+				inZone[h.zone]++
+			}
+		}
+	}
+	// A task that may be anywhere leaves no zone that is surely allowed.
+	if inZone[""] > 0 {
+		return nil, ""
+	}
+	for _, m := range room.ms {
+		switch {
+		case !m.holds(s) || !m.allowed(s):
+		case s.OneZone && len(inZone) > 0 && inZone[m.opt.Zone] == 0:
+		case s.Spread && inZone[m.opt.Zone] >= (s.Tasks+1)/2:
+		default:
+			return m, m.opt.Zone
+		}
+	}
+	return nil, ""
+}
+
+func (l *Leader) blockOf(machine string) *lblock { return l.blocks[block.Of(machine, len(l.blocks))] }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -590,14 +590,12 @@
 	for i := 0; ; i++ {
 		items, _, err := n.store.List(ctx, store.Urgent, block.RecordPrefix(x.Block))
 		if err == nil {
-			pages := map[string]peer.RecordPage{}
-			for _, it := range items {
-				var p peer.RecordPage
-				if err := json.Unmarshal(it.Value, &p); err != nil {
-					n.log.Error("start record", "key", it.Key, "error", err)
-					continue
-				}
-				pages[it.Key] = p
+			pages, err := block.Pages(items)
+			if err != nil {
+				// What may run is not known, so the block is not granted.
+				n.log.Error("start records", "block", x.Block, "error", err)
+				time.Sleep(time.Second)
+				continue
 			}
 			n.leader <- leader.Records{Epoch: x.Epoch, Block: x.Block, Token: x.Token, Pages: pages}
 			return
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -5,7 +5,6 @@
 import (
 	"container/heap"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -20,7 +19,6 @@
 	"swiftledge/internal/config"
 	"swiftledge/internal/election"
 	"swiftledge/internal/leader"
-	"swiftledge/internal/peer"
 	"swiftledge/internal/placement"
 	"swiftledge/internal/standin"
 	"swiftledge/internal/store"
@@ -803,12 +801,8 @@
 			n.w.after(100*clock.Millisecond, n.still(func() { n.loadRecords(x) }))
 			return
 		}
-		pages := map[string]peer.RecordPage{}
-		for _, it := range items {
-			var p peer.RecordPage
-			must(json.Unmarshal(it.Value, &p))
-			pages[it.Key] = p
-		}
+		pages, err := block.Pages(items)
+		must(err)
 		n.leaderStep(leader.Records{Epoch: x.Epoch, Block: x.Block, Token: x.Token, Pages: pages})
 	})
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -72,7 +72,7 @@
 
 type tickets []*ticket
 
-func (t tickets) Len() int { return len(t) }
+func (t tickets) Len() int           { return len(t) }
 func (t tickets) Less(i, j int) bool { return t[i].before(t[j]) }
 
 func (t *ticket) before(o *ticket) bool {
