--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -47,6 +47,7 @@
 	name, address, typ, zone string
 	spot                     bool
 	session, seq             uint64
+	began                    clock.Micros // when we first saw the session
 	beatSession, beatSeq     uint64 // of the newest report of its own, not of an answer to us
 	shown                    bool   // has shown our token
 	heard                    clock.Micros
@@ -228,6 +229,7 @@
 			n := b.machine(m.name)
 			n.address, n.typ, n.zone, n.spot = m.address, m.typ, m.zone, m.spot
 			n.session, n.seq, n.beatSession, n.beatSeq = m.session, m.seq, m.beatSession, m.beatSeq
+			n.began = m.began
 			n.heard, n.answered, n.notice, n.gone = m.heard, m.answered, m.notice, m.gone
 			n.deaf, n.unheard = m.deaf, m.unheard
 		}
@@ -808,6 +810,9 @@
 		b.mark(m)
 		m.silent = m.silent && m.deaf > 0
 	}
+	if r.Session > m.session {
+		m.began = now
+	}
 	m.session, m.seq = r.Session, r.Seq
 	m.address, m.typ, m.zone, m.spot = r.Address, r.Type, r.Zone, r.Spot
 	m.notice = r.NoticeS != nil
@@ -976,8 +981,10 @@
 			}
 			continue
 		}
-		// Silence proves the end only after every grant that could have answered, and the worker's lease.
-		base := max(m.answered, b.since+h.p.GrantTime.Longer())
+		// Silence proves the end only after every grant that could have answered, and the
+		// worker's lease. A session has its lease from its beginning, also when none of
+		// its reports was ever answered and its tasks were ordered directly.
+		base := max(m.answered, m.began, b.since+h.p.GrantTime.Longer())
 		since := max(m.heard, b.since)
 		quiet := h.p.Lease * 11 / 20
 		if m.notice {
--- a/internal/block/holder_test.go
+++ b/internal/block/holder_test.go
@@ -149,3 +149,22 @@
 		t.Error("keeps a block whose machine shows a newer token")
 	}
 }
+
+// A worker whose lease ran out between two holders is known from its answers to
+// direct commands only. Its new session has a full lease from its beginning: the
+// silence of its reports must not prove its tasks gone before that has run out.
+func TestNewSessionHasItsOwnLease(t *testing.T) {
+	h := holding(t)
+	in := func(s clock.Micros) clock.Micros { return now + s*clock.Second }
+	r := beat("m2", 1, 50).R
+	r.Session = 2
+	h.Step(in(35), Ordered{Orders: Orders{Block: 0, Machine: "m2", Body: wire.Orders{Token: 50, Session: 2}}, Status: 200, R: r})
+	m := h.blocks[0].machines["m2"]
+	h.blocks[0].add(&rec{task: task, attempt: 50<<peer.AttemptBits | 1, m: m, group: &peer.RecordGroup{Job: task.Job}, state: shown, session: 2})
+	if h.Step(in(54), Tick{}); len(m.recs) != 1 {
+		t.Error("taken for gone while the new session's lease may hold")
+	}
+	if h.Step(in(57), Tick{}); len(m.recs) != 0 {
+		t.Error("the silence of a whole lease is no proof")
+	}
+}
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"swiftledge/internal/netio"
 	"swiftledge/wire"
 )
 
@@ -29,7 +30,7 @@
 	return &Client{
 		http: &fasthttp.HostClient{Addr: addr, MaxConns: 4, MaxIdemponentCallAttempts: 1,
 			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-			Dial:       func(a string) (net.Conn, error) { return fasthttp.DialTimeout(a, 2*time.Second) }},
+			Dial:       func(a string) (net.Conn, error) { return netio.Dial(a, 2*time.Second) }},
 		pause: time.Duration(float64(time.Second) / rps),
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"swiftledge/internal/config"
 	"swiftledge/internal/election"
 	"swiftledge/internal/leader"
+	"swiftledge/internal/netio"
 	"swiftledge/internal/peer"
 	"swiftledge/internal/placement"
 	"swiftledge/internal/store"
@@ -77,7 +78,7 @@
 		RetryIfErr:               func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		NoDefaultUserAgentHeader: true, ReadBufferSize: 2048, WriteBufferSize: 2048,
 		Dial: func(a string) (net.Conn, error) {
-			c, err := fasthttp.DialTimeout(a, time.Second)
+			c, err := netio.Dial(a, time.Second)
 			if err != nil {
 				return nil, fmt.Errorf("%w: %w", errDial, err)
 			}
@@ -105,11 +106,11 @@
 
 // Serve runs the node until ctx ends or a listener fails.
 func (n *Node) Serve(ctx context.Context) error {
-	back, err := net.Listen("tcp4", n.cfg.Back)
+	back, err := netio.Listen(n.cfg.Back)
 	if err != nil {
 		return fmt.Errorf("listen for controllers: %w", err)
 	}
-	front, err := net.Listen("tcp4", n.cfg.ServeOn)
+	front, err := netio.Listen(n.cfg.ServeOn)
 	if err != nil {
 		return fmt.Errorf("listen for users and workers: %w", err)
 	}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"swiftledge/internal/netio"
 )
 
 const (
@@ -78,7 +80,7 @@
 
 // Dial links a follower to the leader at addr and returns after the leader has agreed.
 func Dial(addr string, h Hello) (*Link, *msgpack.Decoder, error) {
-	c, err := net.DialTimeout("tcp", addr, time.Second)
+	c, err := netio.Dial(addr, time.Second)
 	if err != nil {
 		return nil, nil, fmt.Errorf("peer: %w", err)
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -18,6 +18,7 @@
 	"github.com/valyala/fasthttp"
 
 	"swiftledge/internal/clock"
+	"swiftledge/internal/netio"
 	"swiftledge/wire"
 )
 
@@ -128,7 +129,7 @@
 		RetryIfErr:          func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		MaxIdleConnDuration: 30 * time.Second, MaxConnWaitTimeout: 2 * time.Second,
 		NoDefaultUserAgentHeader: true,
-		Dial:                     func(a string) (net.Conn, error) { return fasthttp.DialTimeout(a, 1200*time.Millisecond) },
+		Dial:                     func(a string) (net.Conn, error) { return netio.Dial(a, 1200*time.Millisecond) },
 	}
 }
 
