--- a/cmd/swiftledge/main.go
+++ b/cmd/swiftledge/main.go
@@ -74,6 +74,8 @@
 func serve(ctx context.Context, cfg *config.Config) error {
 	// The machine runs one thread of ours at a time; more would only wait for each other.
 	runtime.GOMAXPROCS(1)
+	// Memory is plenty against what we hold, processor time is not: collect seldom.
+	debug.SetGCPercent(400)
 	debug.SetMemoryLimit(int64(cfg.Facts.Quota.MemMB * 0.7 * (1 << 20)))
 	level := slog.LevelInfo
 	switch os.Getenv("LOG_LEVEL") {
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -13,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/goccy/go-json"
 	"github.com/gofiber/fiber/v3"
 
 	"swiftledge/internal/block"
@@ -49,6 +49,8 @@
 		ReadTimeout:  60 * time.Second,
 		Concurrency:  max(64, s.cfg.Facts.Quota.MaxSockets*6/10),
 		ErrorHandler: problem,
+		JSONEncoder:  json.Marshal,
+		JSONDecoder:  json.Unmarshal,
 	})
 	app.Post("/agent/beat", s.beat)
 	app.Post("/api/jobs", s.submit)
--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -48,8 +48,8 @@
 	spot                     bool
 	session, seq             uint64
 	began                    clock.Micros // when we first saw the session
-	beatSession, beatSeq     uint64 // of the newest report of its own, not of an answer to us
-	shown                    bool   // has shown our token
+	beatSession, beatSeq     uint64       // of the newest report of its own, not of an answer to us
+	shown                    bool         // has shown our token
 	heard                    clock.Micros
 	answered                 clock.Micros
 	notice, known, drain     bool
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -2,13 +2,13 @@
 package cloud
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
 	"net/url"
 	"time"
 
+	"github.com/goccy/go-json"
 	"github.com/valyala/fasthttp"
 
 	"swiftledge/internal/netio"
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -12,6 +11,7 @@
 	"net"
 	"time"
 
+	"github.com/goccy/go-json"
 	"github.com/valyala/fasthttp"
 
 	"swiftledge/internal/api"
@@ -114,6 +114,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for users and workers: %w", err)
 	}
+	go n.tick(ctx)
 	go n.runElector(ctx)
 	go n.runLeader(ctx)
 	go n.runHolder(ctx)
@@ -133,16 +134,25 @@
 	return <-ch
 }
 
-func (n *Node) tick(ctx context.Context, box mailbox, every time.Duration, msg any) {
-	t := time.NewTicker(every)
+// tickEvery is how often time passes for the actors, for all of them at once: on a
+// small machine each wake-up costs more than what is then done.
+const tickEvery = 250 * time.Millisecond
+
+func (n *Node) tick(ctx context.Context) {
+	t := time.NewTicker(tickEvery)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
+		}
+		for _, to := range []struct {
+			box mailbox
+			msg any
+		}{{n.elector, election.Tick{}}, {n.leader, leader.Tick{}}, {n.holder, block.Tick{}}} {
 			select {
-			case box <- msg:
+			case to.box <- to.msg:
 			default:
 			}
 		}
@@ -151,7 +161,6 @@
 
 func (n *Node) runElector(ctx context.Context) {
 	e := election.New(election.Record{Node: n.cfg.Name, Run: n.run}, clock.FromSeconds(n.cfg.Tuning.Election.TTLS))
-	go n.tick(ctx, n.elector, 250*time.Millisecond, election.Tick{})
 	for msg := range n.elector {
 		if q, ok := msg.(askEpoch); ok {
 			q.answer <- e.Epoch()
@@ -325,7 +334,6 @@
 		ReportTime: clock.FromSeconds(n.cfg.Facts.Workers.ReportS),
 		ValueBytes: int(n.cfg.Facts.State.ValueKB * 1024 * 0.9), TxnOps: n.cfg.Facts.State.TxnOps},
 		placement.Params{K: t.K, Eta: t.Eta, Epsilon: t.Epsilon, Small: t.Small}, n.health.ok)
-	go n.tick(ctx, n.holder, 200*time.Millisecond, block.Tick{})
 	var link any
 	for msg := range n.holder {
 		switch m := msg.(type) {
@@ -446,7 +454,6 @@
 
 func (n *Node) runLeader(ctx context.Context) {
 	l := leader.New(n.cfg, n.health.ok)
-	go n.tick(ctx, n.leader, 200*time.Millisecond, leader.Tick{})
 	// What an epoch has under way ends with it.
 	ep := newEpoch(ctx)
 	for msg := range n.leader {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -5,7 +5,6 @@
 import (
 	"container/heap"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"math"
@@ -15,6 +14,7 @@
 	"strconv"
 	"time"
 
+	"github.com/goccy/go-json"
 	"github.com/valyala/fasthttp"
 
 	"swiftledge/internal/clock"
