--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -54,6 +54,7 @@
 	answered                 clock.Micros
 	notice, known, drain     bool
 	gone, lost, dirty        bool
+	rest                     bool // the leader wants no new tasks here
 	wasFit, silent           bool
 	unheard                  int          // direct commands without an answer, in a row
 	deaf                     clock.Micros // since when it seems not to hear us; 0: it does
@@ -414,6 +415,12 @@
 			}
 		}
 	}
+	for _, name := range o.Rest {
+		b.machine(name).rest = true
+	}
+	for _, name := range o.Wake {
+		b.machine(name).rest = false
+	}
 	var stopped []*machine
 	stops := map[*machine][]wire.Command{}
 	for _, s := range o.Stop {
@@ -481,7 +488,7 @@
 	var ms []*placement.Machine
 	if b.writing == nil && now < b.expires {
 		for _, m := range b.order {
-			if h.fit(now, m) {
+			if h.fit(now, m) && !m.rest {
 				if pm := h.room(m); pm.CPUs > 0 {
 					ms = append(ms, pm)
 				}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -122,6 +122,7 @@
 	OrdinaryClearS float64 `yaml:"ordinary_clear_s" validate:"gt=0,lte=3600"`
 	IdleS          float64 `yaml:"idle_s" validate:"gte=0,lte=3600"`
 	LateFactor     float64 `yaml:"late_factor" validate:"gte=1,lte=20"`
+	Reserve        float64 `yaml:"reserve" validate:"gte=0,lte=10"`
 }
 
 // DefaultTuning is used for all that the operators' file leaves out.
@@ -141,6 +142,7 @@
 	t.Fleet.OrdinaryClearS = 200
 	t.Fleet.IdleS = 10
 	t.Fleet.LateFactor = 2
+	t.Fleet.Reserve = 0.4
 	return t
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"strconv"
 
 	"swiftledge/wire"
 )
@@ -56,12 +57,15 @@
 type Supply struct {
 	Option
 	Name string
-	Idle bool // up, without a task
-	Keep bool // returning it now saves nothing or is not wanted yet
+	Up   bool
+	Idle bool    // up, without a task
+	Keep bool    // returning it now saves nothing or is not wanted yet
+	Load float64 // part of its processors in use
 }
 
-// Params bound the wait that is worth a machine.
-type Params struct{ SpotClearS, OrdinaryClearS float64 }
+// Params bound the wait that is worth a machine, and what is kept free for work
+// that comes.
+type Params struct{ SpotClearS, OrdinaryClearS, Reserve float64 }
 
 // keepOrdinary is how far the wish for ordinary machines may fall before those
 // that are there are given up: less would rent and return in turns.
@@ -73,94 +77,182 @@
 	Count int
 }
 
-// Plan decides what to rent, which idle machines to return and which busy
-// ordinary ones to give no more work, so that they can be returned. allowed says
-// whether an option may be asked for now.
-func Plan(needs []Need, supply []Supply, options []Option, p Params, allowed func(Option) bool) (rent []Order, giveBack, shun []string) {
-	free := make([]float64, len(supply)) // part of each machine not yet spoken for
-	for i := range free {
-		free[i] = 1
+// Decision is what to rent, which idle machines to return, which busy ordinary ones
+// to give no more work, so that they can be returned, and which busy cheap ones to
+// leave alone while others have room, so that they empty.
+type Decision struct {
+	Rent   []Order
+	Return []string
+	Shun   []string
+	Rest   []string
+}
+
+// pool hands out the machines' room to needs, in a fixed order of preference.
+type pool struct {
+	supply []Supply
+	kind   []int // of each machine, among the options that occur
+	order  []int
+	free   []float64 // part of each machine not yet spoken for
+	from   int       // all before it in the order is spoken for
+}
+
+func newPool(supply []Supply, kind, order []int) *pool {
+	p := &pool{supply: supply, kind: kind, order: order, free: make([]float64, len(supply))}
+	for i := range p.free {
+		p.free[i] = 1
 	}
-	// Machines that cost least per hour are taken into account first.
+	return p
+}
+
+// take speaks for slots until have reaches most, which may differ for ordinary
+// machines; up is what of it can work at once.
+func (p *pool) take(slots []int, most, mostOrdinary float64) (have, up float64) {
+	for at := p.from; at < len(p.order); at++ {
+		j := p.order[at]
+		if p.free[j] <= 0 {
+			if at == p.from {
+				p.from++
+			}
+			continue
+		}
+		limit := most
+		if !p.supply[j].Spot {
+			limit = mostOrdinary
+		}
+		k := float64(slots[p.kind[j]])
+		if k == 0 || have >= limit {
+			if have >= most && have >= mostOrdinary {
+				break
+			}
+			continue
+		}
+		n := min(p.free[j]*k, limit-have)
+		p.free[j] -= n / k
+		if p.free[j] < 1e-9 {
+			p.free[j] = 0
+		}
+		have += n
+		if p.supply[j].Up {
+			up += n
+		}
+	}
+	return have, up
+}
+
+// Plan decides about the fleet. allowed says whether an option may be asked for now.
+func Plan(needs []Need, supply []Supply, options []Option, p Params, allowed func(Option) bool) Decision {
+	var d Decision
+	var kinds []Option
+	kind := make([]int, len(supply))
+	byKey := map[[3]string]int{}
+	for i := range supply {
+		o := supply[i].Option
+		key := [3]string{o.Type.Name, o.Zone, strconv.FormatBool(o.Spot)}
+		k, ok := byKey[key]
+		if !ok {
+			k = len(kinds)
+			byKey[key] = k
+			kinds = append(kinds, o)
+		}
+		kind[i] = k
+	}
+	// Machines that cost least per hour are taken into account first, of these the
+	// fullest: the others are those that empty soonest.
 	order := make([]int, len(supply))
 	for i := range order {
 		order[i] = i
 	}
 	slices.SortStableFunc(order, func(a, b int) int {
-		if c := cmp.Compare(unit(supply[a].Option), unit(supply[b].Option)); c != 0 {
+		if c := cmp.Compare(priceStep(supply[a].Option), priceStep(supply[b].Option)); c != 0 {
 			return c
 		}
-		return boolCmp(supply[a].Idle, supply[b].Idle)
+		if c := boolCmp(supply[a].Idle, supply[b].Idle); c != 0 {
+			return c
+		}
+		return cmp.Compare(supply[b].Load, supply[a].Load)
 	})
+	wanted, all := newPool(supply, kind, order), newPool(supply, kind, order)
+	slots := make([]int, len(kinds))
 	for i := range needs {
 		n := &needs[i]
+		for k := range kinds {
+			slots[k] = n.Slots(&kinds[k].Type, kinds[k].Zone, kinds[k].Spot)
+		}
 		// Slots wanted at each willingness to wait; never more than can run at once.
 		wantSpot := min(float64(n.Tasks), math.Ceil(n.Seconds/p.SpotClearS))
 		wantOrdinary := min(float64(n.Tasks), math.Ceil(n.Seconds/p.OrdinaryClearS))
 		if !n.Spot {
 			wantOrdinary = wantSpot
 		}
-		have := 0.0
-		for _, j := range order {
-			s := &supply[j]
-			// An ordinary machine is kept only while the wait without it would be
-			// long; its slots are then worth more than their price.
-			most := wantSpot
-			if !s.Spot {
-				most = min(wantSpot, wantOrdinary*keepOrdinary)
-			}
-			if have >= most {
-				continue
-			}
-			if k := n.Slots(&s.Type, s.Zone, s.Spot); k > 0 && free[j] > 0 {
-				take := min(free[j]*float64(k), most-have)
-				free[j] -= take / float64(k)
-				have += take
-			}
-		}
-		opts := slices.Clone(options)
-		slices.SortStableFunc(opts, func(a, b Option) int {
-			return cmp.Compare(perSlot(n, a), perSlot(n, b))
-		})
-		for _, o := range opts {
-			k := n.Slots(&o.Type, o.Zone, o.Spot)
-			if k == 0 || !allowed(o) {
-				continue
-			}
-			want := wantOrdinary
-			if o.Spot {
-				want = wantSpot
-			}
-			missing := want - have
-			if missing <= 0 {
-				continue
-			}
-			count := int(missing) / k
-			// A machine that would be less than half used is worth it only if nothing smaller serves.
-			if rest := missing - float64(count*k); rest > 0 && (rest*2 >= float64(k) || have == 0 && count == 0) {
-				count++
-			}
-			count = min(count, 50)
-			if count > 0 {
-				rent = append(rent, Order{o, count})
-				have += float64(count * k)
-			}
-		}
+		// An ordinary machine is kept only while the wait without it would be
+		// long; its slots are then worth more than their price.
+		have, up := wanted.take(slots, wantSpot, min(wantSpot, wantOrdinary*keepOrdinary))
+		room := math.Ceil(float64(n.Tasks) * (1 + p.Reserve))
+		all.take(slots, room, room)
+		d.Rent = rent(d.Rent, n, options, p, allowed, have, up)
 	}
 	for _, j := range slices.Backward(order) {
 		s := &supply[j]
-		if s.Name == "" || s.Keep || free[j] < 1-1e-9 {
+		if s.Name == "" || !s.Up {
 			continue
 		}
-		if s.Idle {
-			giveBack = append(giveBack, s.Name)
-		} else if !s.Spot {
-			shun = append(shun, s.Name)
+		surplus := all.free[j] == 1
+		if !s.Spot {
+			surplus = wanted.free[j] == 1
+		}
+		switch {
+		case !surplus:
+		case s.Idle && !s.Keep:
+			d.Return = append(d.Return, s.Name)
+		case s.Idle:
+		case !s.Spot:
+			d.Shun = append(d.Shun, s.Name)
+		default:
+			d.Rest = append(d.Rest, s.Name)
 		}
 	}
-	return rent, giveBack, shun
+	return d
 }
 
+// rent adds the orders that one need asks for beyond the slots it has.
+func rent(out []Order, n *Need, options []Option, p Params, allowed func(Option) bool, have, up float64) []Order {
+	opts := slices.Clone(options)
+	slices.SortStableFunc(opts, func(a, b Option) int {
+		return cmp.Compare(perSlot(n, a), perSlot(n, b))
+	})
+	for _, o := range opts {
+		k := n.Slots(&o.Type, o.Zone, o.Spot)
+		if k == 0 || !allowed(o) {
+			continue
+		}
+		clear := p.OrdinaryClearS
+		if o.Spot || !n.Spot {
+			clear = p.SpotClearS
+		}
+		// A machine rented now finds only the work that those that are up leave until then.
+		left := n.Seconds - up*o.Type.BootS
+		missing := min(float64(n.Tasks), math.Ceil(left/clear)) - have
+		if missing <= 0 {
+			continue
+		}
+		count := int(missing) / k
+		// A machine that would be less than half used is worth it only if nothing smaller serves.
+		if rest := missing - float64(count*k); rest > 0 && (rest*2 >= float64(k) || have == 0 && count == 0) {
+			count++
+		}
+		count = min(count, 50)
+		if count > 0 {
+			out = append(out, Order{o, count})
+			have += float64(count * k)
+		}
+	}
+	return out
+}
+
+// priceStep groups prices that differ little: which of these machines to keep is
+// better told by what runs on them.
+func priceStep(o Option) float64 { return math.Floor(math.Log(max(unit(o), 1e-9)) / math.Log(1.5)) }
+
 func boolCmp(a, b bool) int {
 	switch {
 	case a == b:
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -24,16 +24,16 @@
 func TestPlanRentsCheapFirst(t *testing.T) {
 	p := Params{SpotClearS: 20, OrdinaryClearS: 100}
 	need := Need{CPUs: 2, Memory: 1, Spot: true, Tasks: 40, Seconds: 400}
-	rent, _, _ := Plan([]Need{need}, nil, []Option{ordinary, spot}, p, all)
+	rent := Plan([]Need{need}, nil, []Option{ordinary, spot}, p, all).Rent
 	if total(rent, true) != 10 || total(rent, false) != 0 {
 		t.Errorf("rents %v, want 10 spot machines for 20 slots", rent)
 	}
-	rent, _, _ = Plan([]Need{need}, nil, []Option{ordinary, spot}, p, func(o Option) bool { return !o.Spot })
+	rent = Plan([]Need{need}, nil, []Option{ordinary, spot}, p, func(o Option) bool { return !o.Spot }).Rent
 	if total(rent, false) != 2 {
 		t.Errorf("rents %v, want 2 ordinary machines for 4 slots", rent)
 	}
 	need.Spot = false
-	rent, _, _ = Plan([]Need{need}, nil, []Option{ordinary, spot}, p, all)
+	rent = Plan([]Need{need}, nil, []Option{ordinary, spot}, p, all).Rent
 	if total(rent, true) != 0 || total(rent, false) != 10 {
 		t.Errorf("rents %v for work that may not use spot machines", rent)
 	}
@@ -41,13 +41,42 @@
 
 func TestPlanReturnsWhatIsNotWanted(t *testing.T) {
 	p := Params{SpotClearS: 20, OrdinaryClearS: 100}
-	supply := []Supply{{Option: ordinary, Name: "o", Idle: true}, {Option: spot, Name: "s", Idle: true},
-		{Option: spot, Name: "k", Idle: true, Keep: true}, {Option: ordinary, Name: "b"}}
-	_, back, shun := Plan([]Need{{CPUs: 4, Spot: true, Tasks: 2, Seconds: 1000}}, supply, nil, p, all)
-	if len(shun) != 1 || shun[0] != "b" {
-		t.Errorf("shuns %v, want the busy ordinary machine", shun)
-	}
-	if len(back) != 1 || back[0] != "o" {
-		t.Errorf("returns %v, want only the idle ordinary machine", back)
+	supply := []Supply{{Option: ordinary, Name: "o", Up: true, Idle: true}, {Option: spot, Name: "s", Up: true, Idle: true},
+		{Option: spot, Name: "k", Up: true, Idle: true, Keep: true}, {Option: ordinary, Name: "b", Up: true}}
+	d := Plan([]Need{{CPUs: 4, Spot: true, Tasks: 2, Seconds: 1000}}, supply, nil, p, all)
+	if len(d.Shun) != 1 || d.Shun[0] != "b" {
+		t.Errorf("shuns %v, want the busy ordinary machine", d.Shun)
+	}
+	if len(d.Return) != 1 || d.Return[0] != "o" {
+		t.Errorf("returns %v, want only the idle ordinary machine", d.Return)
+	}
+}
+
+// What runs fits into fewer machines: the emptiest are left alone so that they can go.
+func TestPlanRestsTheEmptiest(t *testing.T) {
+	p := Params{SpotClearS: 20, OrdinaryClearS: 100, Reserve: 0.5}
+	var supply []Supply
+	for i, load := range []float64{0.25, 1, 0.5, 0.25} {
+		supply = append(supply, Supply{Option: spot, Name: string(rune('a' + i)), Up: true, Load: load})
+	}
+	d := Plan([]Need{{CPUs: 1, Spot: true, Tasks: 8, Seconds: 80}}, supply, nil, p, all)
+	if len(d.Rest) != 1 || d.Rest[0] != "d" {
+		t.Errorf("rests %v, want d: 12 slots are kept for 8 tasks", d.Rest)
+	}
+}
+
+// A machine that takes longer to boot than the others need for all the work is not rented.
+func TestPlanCountsWhatIsDoneMeanwhile(t *testing.T) {
+	slow := spot
+	slow.Type.BootS = 30
+	supply := []Supply{{Option: slow, Name: "a", Up: true}}
+	p := Params{SpotClearS: 10, OrdinaryClearS: 100}
+	need := Need{CPUs: 1, Spot: true, Tasks: 100, Seconds: 120}
+	if d := Plan([]Need{need}, supply, []Option{slow}, p, all); len(d.Rent) != 0 {
+		t.Errorf("rents %v for work that is done before they are up", d.Rent)
+	}
+	need.Seconds = 400
+	if d := Plan([]Need{need}, supply, []Option{slow}, p, all); total(d.Rent, true) != 6 {
+		t.Errorf("rents %v, want 6 machines for what is left", d.Rent)
 	}
 }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -69,6 +69,8 @@
 	up       bool
 	booting  bool // by the list
 	shun     bool // not worth new tasks
+	rest     bool // not needed for new tasks while others have room
+	out      bool // its holder was told to leave it out
 	state    peer.MachineState
 	listed   clock.Micros // last seen in the list; 0: never
 	missing  int
@@ -678,7 +680,7 @@
 	var roster []peer.RosterMachine
 	for _, name := range names {
 		mc := l.machines[name]
-		mc.state.Fit = false
+		mc.state.Fit, mc.out = false, false
 		roster = append(roster, peer.RosterMachine{Name: name, Address: mc.address})
 	}
 	// A controller that linked up before the epoch was loaded knows no types yet.
@@ -786,7 +788,7 @@
 	var links []any
 	for _, b := range l.blocks {
 		o := &b.orders
-		if b.state != granted || len(o.Offers)+len(o.Stop)+len(o.Stored)+len(o.Use)+len(o.Drain)+len(o.Gone) == 0 {
+		if b.state != granted || len(o.Offers)+len(o.Stop)+len(o.Stored)+len(o.Use)+len(o.Drain)+len(o.Gone)+len(o.Rest)+len(o.Wake) == 0 {
 			continue
 		}
 		o.Block, o.Token = b.id, b.token
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -404,8 +404,11 @@
 		if !m.opt.Spot {
 			wait = idleFor / 5
 		}
-		supply = append(supply, fleet.Supply{Option: m.opt, Name: name, Idle: idle,
-			Keep: !m.up || idle && now-m.idle < wait || now-m.born < 55*clock.Second})
+		s := fleet.Supply{Option: m.opt, Name: name, Up: m.up, Idle: idle, Keep: idle && now-m.idle < wait || now-m.born < 55*clock.Second}
+		if m.up && m.opt.Type.CPUs > 0 {
+			s.Load = 1 - m.state.CPUs/m.opt.Type.CPUs
+		}
+		supply = append(supply, s)
 	}
 	for _, rt := range l.rentals {
 		if !rt.rec.Asked {
@@ -420,22 +423,43 @@
 			opts = append(opts, fleet.Option{Type: t, Zone: z}, fleet.Option{Type: t, Zone: z, Spot: true})
 		}
 	}
-	rent, giveBack, shun := fleet.Plan(flat, supply, opts,
-		fleet.Params{SpotClearS: l.cfg.Tuning.Fleet.SpotClearS, OrdinaryClearS: l.cfg.Tuning.Fleet.OrdinaryClearS},
+	tune := l.cfg.Tuning.Fleet
+	d := fleet.Plan(flat, supply, opts, fleet.Params{SpotClearS: tune.SpotClearS, OrdinaryClearS: tune.OrdinaryClearS, Reserve: tune.Reserve},
 		func(o fleet.Option) bool { return now >= l.refused[optionKey(o)].until })
-	for _, m := range l.machines {
-		m.shun = false
-	}
-	for _, name := range shun {
-		l.machines[name].shun = true
-	}
+	l.rest(d)
 	l.stirred = true // what is shunned no more has room again
-	for _, o := range rent {
+	for _, o := range d.Rent {
 		l.rentSeq++
 		req := fmt.Sprintf("r-%d-%d", l.epoch, l.rentSeq)
 		rt := &rental{key: FleetPrefix + req, rec: FleetRecord{Rental: wire.Rental{Request: req, Type: o.Type.Name, Zone: o.Zone, Spot: o.Spot, Count: o.Count}}}
 		l.rentals[rt.key] = rt
 		l.writeRental(rt)
 	}
-	return giveBack
+	return d.Return
+}
+
+// rest tells the holders which machines their auctions are to leave out. Those not
+// worth their price get no work at all; those that are only more than needed get it
+// again as soon as the others have no room.
+func (l *Leader) rest(d fleet.Decision) {
+	for _, m := range l.machines {
+		m.shun, m.rest = false, false
+	}
+	for _, name := range d.Shun {
+		l.machines[name].shun = true
+	}
+	for _, name := range d.Rest {
+		l.machines[name].rest = true
+	}
+	for _, name := range slices.Sorted(maps.Keys(l.machines)) {
+		m := l.machines[name]
+		if out := m.shun || m.rest; out != m.out && m.block.state == granted {
+			m.out = out
+			if out {
+				m.block.orders.Rest = append(m.block.orders.Rest, name)
+			} else {
+				m.block.orders.Wake = append(m.block.orders.Wake, name)
+			}
+		}
+	}
 }
--- a/internal/leader/schedule.go
+++ b/internal/leader/schedule.go
@@ -228,6 +228,10 @@
 		n = 1 // each task changes where the next may be
 	}
 	b := m.block
+	if m.out {
+		m.rest, m.out = false, false
+		b.orders.Wake = append(b.orders.Wake, m.name)
+	}
 	given := 0
 	for given < n && m.holds(s) && t.u.takes(s, t.team.CPUsMax, t.team.GPUsMax) {
 		i := j.take()
@@ -260,7 +264,7 @@
 // freeRoom is what can be offered in one round. Room only shrinks while offers are
 // made, so a machine that was too full for a shape of task is not looked at again.
 type freeRoom struct {
-	ms      []*machine // the cheapest first, the fullest first among these
+	ms      []*machine // the cheapest first, the fullest first among these; those at rest last
 	byImage map[string][]*machine
 	passed  map[string]int
 }
@@ -274,6 +278,12 @@
 		}
 	}
 	slices.SortFunc(r.ms, func(a, b *machine) int {
+		if a.rest != b.rest {
+			if b.rest {
+				return -1
+			}
+			return 1
+		}
 		if c := cmp.Compare(a.opt.Price()/max(a.opt.Type.CPUs, 1), b.opt.Price()/max(b.opt.Type.CPUs, 1)); c != 0 {
 			return c
 		}
@@ -283,6 +293,9 @@
 		return cmp.Compare(a.name, b.name)
 	})
 	for _, m := range r.ms {
+		if m.rest {
+			continue
+		}
 		for _, image := range m.state.Images {
 			r.byImage[image] = append(r.byImage[image], m)
 		}
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -203,6 +203,8 @@
 	Use      []string // machines now in the roster
 	Drain    []string // machines to empty
 	Gone     []string // machines whose end is proven
+	Rest     []string // machines that new tasks are to leave out
+	Wake     []string // and no longer
 }
 
 // StopTask tells to end a task, with time to save or without.
