--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -18,27 +18,41 @@
 // ErrNoCapacity says that none is available of this type, zone and kind.
 var ErrNoCapacity = errors.New("no capacity")
 
-// Client speaks to the cloud. Only the leader calls it, one call at a time,
-// which together with the pause after each call keeps it within the limit.
+// Client speaks to the cloud. Only the leader calls it; a bucket of tokens keeps it
+// within the limit, which allows bursts worth two seconds.
 type Client struct {
-	http  *fasthttp.HostClient
-	pause time.Duration
+	http   *fasthttp.HostClient
+	tokens chan struct{}
 }
 
 // New makes a client that keeps to rps calls a second.
 func New(addr string, rps float64) *Client {
-	return &Client{
+	c := &Client{
 		http: &fasthttp.HostClient{Addr: addr, MaxConns: 4, MaxIdemponentCallAttempts: 1,
 			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 			Dial:       func(a string) (net.Conn, error) { return netio.Dial(a, 2*time.Second) }},
-		pause: time.Duration(float64(time.Second) / rps),
+		// A part of the burst is left for a leader before us.
+		tokens: make(chan struct{}, max(1, int(1.5*rps))),
 	}
+	go c.refill(time.Duration(float64(time.Second) / (0.95 * rps)))
+	return c
 }
 
-// Pause is how long to leave between two calls.
-func (c *Client) Pause() time.Duration { return c.pause }
+// refill lets one more call go every now and then, from the first tick on.
+func (c *Client) refill(every time.Duration) {
+	for len(c.tokens) < cap(c.tokens) {
+		c.tokens <- struct{}{}
+	}
+	for range time.Tick(every) {
+		select {
+		case c.tokens <- struct{}{}:
+		default:
+		}
+	}
+}
 
 func (c *Client) call(method, uri string, body, out any) error {
+	<-c.tokens
 	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(res)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -191,6 +191,7 @@
 		all.take(slots, room, room)
 		d.Rent = rent(d.Rent, n, options, p, allowed, have, up)
 	}
+	d.Rent = merge(d.Rent)
 	for _, j := range slices.Backward(order) {
 		s := &supply[j]
 		if s.Name == "" || !s.Up {
@@ -240,7 +241,8 @@
 		if rest := missing - float64(count*k); rest > 0 && (rest*2 >= float64(k) || have == 0 && count == 0) {
 			count++
 		}
-		count = min(count, 50)
+		// What one round can ask of an option; the rest falls to the others.
+		count = min(count, mostARound-ordered(out, o))
 		if count > 0 {
 			out = append(out, Order{o, count})
 			have += float64(count * k)
@@ -249,6 +251,41 @@
 	return out
 }
 
+// mostAtOnce is how many machines one request may ask for, mostARound how many are
+// asked of one option before its answers are seen.
+const mostAtOnce, mostARound = 50, 100
+
+func (o Option) same(x Option) bool {
+	return x.Type.Name == o.Type.Name && x.Zone == o.Zone && x.Spot == o.Spot
+}
+
+func ordered(orders []Order, o Option) (n int) {
+	for _, x := range orders {
+		if x.same(o) {
+			n += x.Count
+		}
+	}
+	return n
+}
+
+// merge makes one order of all for the same option, the largest first: the cloud
+// takes few requests a second.
+func merge(orders []Order) []Order {
+	var out []Order
+	for _, o := range orders {
+		if ordered(out, o.Option) > 0 {
+			continue
+		}
+		for n := ordered(orders, o.Option); n > 0; n -= mostAtOnce {
+			out = append(out, Order{o.Option, min(n, mostAtOnce)})
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Order) int {
+		return cmp.Compare(float64(b.Count)*b.Type.CPUs, float64(a.Count)*a.Type.CPUs)
+	})
+	return out
+}
+
 // priceStep groups prices that differ little: which of these machines to keep is
 // better told by what runs on them.
 func priceStep(o Option) float64 { return math.Floor(math.Log(max(unit(o), 1e-9)) / math.Log(1.5)) }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -124,7 +124,8 @@
 	progressAt, lastPlan                                     clock.Micros
 	found                                                    map[string]wire.Machine
 	lastList, lastCounts, lastState, lastFleet, lastSchedule clock.Micros
-	listing, deleting                                        bool
+	listing                                                  bool
+	deleting                                                 int // deletions under way
 	catalogAt                                                clock.Micros
 	stirred                                                  bool // something changed that may let tasks start
 	urgent                                                   bool // a job has come
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -125,18 +125,23 @@
 	}
 	l.lastFleet = now
 	lag := clock.FromSeconds(l.cfg.Facts.Cloud.ListLagS)
-	if !l.listing && now-l.lastList > max(lag/2, 2*clock.Second) {
+	// Lists give way to rentals, which share the cloud's few calls with them.
+	every := max(lag/2, 2*clock.Second)
+	if slices.ContainsFunc(slices.Collect(maps.Values(l.rentals)), func(rt *rental) bool { return !rt.rec.Asked }) {
+		every *= 2
+	}
+	if !l.listing && now-l.lastList > every {
 		l.listing, l.lastList = true, now
 		l.emit(List{})
 	}
 	if l.listing && now-l.lastList > 30*clock.Second {
 		l.listing = false
 	}
-	every := 60 * clock.Second
+	again := 60 * clock.Second
 	if len(l.types) == 0 {
-		every = 3 * clock.Second
+		again = 3 * clock.Second
 	}
-	if now-l.catalogAt > every {
+	if now-l.catalogAt > again {
 		l.catalogAt = now
 		l.emit(ReadCatalog{})
 	}
@@ -162,9 +167,9 @@
 		l.lastPlan = now
 		doomed = l.plan(now)
 	}
-	if len(doomed) > 0 && !l.deleting {
+	if len(doomed) > 0 && l.deleting < 3 {
 		doomed = doomed[:min(len(doomed), 100)]
-		l.deleting = true
+		l.deleting++
 		for _, name := range doomed {
 			l.machines[name].deleting = true
 		}
@@ -271,8 +276,10 @@
 		l.answered(now, rt, true)
 		rt.rec.Asked = true
 		l.tidyRental(now, rt)
+	default:
+		// Asked again under the same name, soon.
+		rt.asked = now - 6*clock.Second
 	}
-	// Any other failure: asked again under the same name after a while.
 }
 
 // answered notes whether an option had all that was asked for. One that had not is
@@ -290,7 +297,7 @@
 }
 
 func (l *Leader) deleted(now clock.Micros, m Deleted) {
-	l.deleting = false
+	l.deleting = max(0, l.deleting-1)
 	for _, name := range m.Machines {
 		mc := l.machines[name]
 		if mc == nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -118,7 +118,9 @@
 	go n.runElector(ctx)
 	go n.runLeader(ctx)
 	go n.runHolder(ctx)
-	go n.runCloud(ctx)
+	for range cloudCalls {
+		go n.runCloud(ctx)
+	}
 	go n.watchLeader(ctx)
 	go n.acceptPeers(back)
 	go n.desk.Run(ctx)
@@ -622,18 +624,17 @@
 	}
 }
 
-// runCloud makes the cloud calls one after the other, within the limit.
+// cloudCalls is how many cloud calls may be under way at once: one that is slow or
+// refused must not hold up the others.
+const cloudCalls = 4
+
 func (n *Node) runCloud(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case f := <-n.cloudWork:
-			start := time.Now()
 			f()
-			if d := n.cloud.Pause() - time.Since(start); d > 0 {
-				time.Sleep(d)
-			}
 		}
 	}
 }
@@ -653,6 +654,5 @@
 			return
 		}
 		after = l.Machines[len(l.Machines)-1].Name
-		time.Sleep(n.cloud.Pause())
 	}
 }
