--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -139,7 +139,7 @@
 	t.Grants.TimeS = 30
 	t.Election.TTLS = 3
 	t.Fleet.SpotClearS = 25
-	t.Fleet.OrdinaryClearS = 600
+	t.Fleet.OrdinaryClearS = 200
 	t.Fleet.IdleS = 10
 	t.Fleet.LateFactor = 2
 	t.Fleet.Reserve = 0.4
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -221,9 +221,10 @@
 	slices.SortStableFunc(opts, func(a, b Option) int {
 		return cmp.Compare(perSlot(n, a), perSlot(n, b))
 	})
+	more := false // cheap ones are left to ask for in the next round
 	for _, o := range opts {
 		k := n.Slots(&o.Type, o.Zone, o.Spot)
-		if k == 0 || !allowed(o) {
+		if k == 0 || !allowed(o) || more && !o.Spot {
 			continue
 		}
 		clear := p.OrdinaryClearS
@@ -242,7 +243,9 @@
 			count++
 		}
 		// What one round can ask of an option; the rest falls to the others.
-		count = min(count, mostARound-ordered(out, o))
+		if most := mostARound - ordered(out, o); count > most {
+			count, more = most, true
+		}
 		if count > 0 {
 			out = append(out, Order{o, count})
 			have += float64(count * k)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -52,6 +52,21 @@
 	}
 }
 
+// Ordinary machines are not rented while cheap ones are only left for the next round.
+func TestPlanAsksCheapOnesInRounds(t *testing.T) {
+	need := Need{CPUs: 2, Memory: 1, Spot: true, Tasks: 1000, Seconds: 90000}
+	p := Params{SpotClearS: 20, OrdinaryClearS: 100}
+	rent := Plan([]Need{need}, nil, []Option{ordinary, spot}, p, all).Rent
+	if total(rent, true) != mostARound || total(rent, false) != 0 {
+		t.Errorf("rents %v, want %d cheap machines and no other", rent, mostARound)
+	}
+	for _, o := range rent {
+		if o.Count > mostAtOnce {
+			t.Errorf("asks for %d machines at once", o.Count)
+		}
+	}
+}
+
 // What runs fits into fewer machines: the emptiest are left alone so that they can go.
 func TestPlanRestsTheEmptiest(t *testing.T) {
 	p := Params{SpotClearS: 20, OrdinaryClearS: 100, Reserve: 0.5}
