Deaf machines, late copies, a controller alone with its workers, least shares: scenarios

Deaf machines get no work until they have answered a command, and are replaced; stopped attempts stay listed until a higher token refuses copies of their orders; late copies of reports are not answered; ghosts are not adopted; a node alone is unready; queues have a least share for classes and long waits. Each has a scenario or a test that fails without.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -101,14 +101,24 @@
 func (s *Service) abort(c fiber.Ctx) error { return s.reply(c, s.Cancel(ref(c))) }
 
 func (s *Service) ready(c fiber.Ctx) error {
-	v := s.desk.Look("")
-	// Only when the state service fails this node and not the leader do users fare better elsewhere.
-	if !s.storeOK() && v.LeaderOK {
+	if !s.Ready() {
 		return c.Status(503).JSON(wire.Problem{Error: "the state service refuses this node"})
 	}
 	return c.SendStatus(200)
 }
 
+// Ready says whether users fare no better elsewhere: when the state service fails
+// this node, but not the leader, or when it is gone together with all other
+// controllers, which may well have it. In an outage for all, all stay ready: a node
+// that was taken out comes back slowly.
+func (s *Service) Ready() bool {
+	if s.storeOK() {
+		return true
+	}
+	v := s.desk.Look("")
+	return !v.LeaderOK && !v.Alone
+}
+
 func (s *Service) beat(c fiber.Ctx) error {
 	r := &wire.Report{}
 	if err := json.Unmarshal(c.Body(), r); err != nil {
--- a/internal/api/desk.go
+++ b/internal/api/desk.go
@@ -19,9 +19,15 @@
 // Desk is the actor that keeps what user requests need at hand: the catalog,
 // counts for display, final states (which never change), and the leader's word.
 type Desk struct {
-	cfg   *config.Config
-	clock clock.Steady
-	box   chan any
+	cfg *config.Config
+	now func() clock.Micros
+	box chan stamped
+}
+
+// stamped is a message with the time at which it was sent.
+type stamped struct {
+	at  clock.Micros
+	msg any
 }
 
 type ended struct {
@@ -43,23 +49,30 @@
 	Count    peer.TaskCount
 	End      *leader.EndRecord
 	LeaderOK bool // a leader that the state service serves spoke to us lately
+	Alone    bool // no other controller has been reached for a while
 }
 
+// Met says that another controller was reached, whatever it said.
+type Met struct{}
+
+// aloneAfter is how long without any other controller makes a node alone.
+const aloneAfter = 5 * clock.Second
+
 // maxEnds bounds the final states kept at hand; the store has them all.
 const maxEnds = 5000
 
 // NewDesk makes a desk; Run serves it.
-func NewDesk(cfg *config.Config, c clock.Steady) *Desk {
-	return &Desk{cfg: cfg, clock: c, box: make(chan any, 1024)}
+func NewDesk(cfg *config.Config, now func() clock.Micros) *Desk {
+	return &Desk{cfg: cfg, now: now, box: make(chan stamped, 1024)}
 }
 
-// Post takes *peer.Down and Following.
-func (d *Desk) Post(msg any) { d.box <- msg }
+// Post takes *peer.Down, Following and Met.
+func (d *Desk) Post(msg any) { d.box <- stamped{d.now(), msg} }
 
 // Look asks for a View.
 func (d *Desk) Look(ref string) View {
 	q := ask{ref, make(chan View, 1)}
-	d.box <- q
+	d.Post(q)
 	return <-q.answer
 }
 
@@ -69,17 +82,19 @@
 // Run is the actor.
 func (d *Desk) Run(ctx context.Context) {
 	v := View{}
-	var leaderAt clock.Micros
+	var leaderAt, metAt clock.Micros
 	counts := map[string]peer.TaskCount{}
 	ends := map[string]leader.EndRecord{}
 	for {
-		var msg any
+		var s stamped
 		select {
 		case <-ctx.Done():
 			return
-		case msg = <-d.box:
+		case s = <-d.box:
 		}
-		switch m := msg.(type) {
+		switch m := s.msg.(type) {
+		case Met:
+			metAt = s.at
 		case Following:
 			v.Epoch = m.Epoch
 			leaderAt = 0
@@ -88,7 +103,7 @@
 				v.Types = m.Types
 			}
 			if m.Renewed > 0 && m.StoreOK && m.Epoch == v.Epoch {
-				leaderAt = d.clock.Now()
+				leaderAt = s.at
 			}
 			for _, c := range m.Counts {
 				counts[c.Job] = c
@@ -107,7 +122,8 @@
 			if e, ok := ends[m.ref]; ok {
 				out.End = &e
 			}
-			out.LeaderOK = leaderAt > 0 && d.clock.Now()-leaderAt < 3*clock.Second
+			out.LeaderOK = leaderAt > 0 && s.at-leaderAt < 3*clock.Second
+			out.Alone = len(d.cfg.Peers) > 0 && s.at-metAt > aloneAfter
 			m.answer <- out
 		}
 	}
--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -1087,7 +1087,7 @@
 func (h *Holder) state(m *machine) peer.MachineState {
 	pm := h.room(m)
 	s := peer.MachineState{Name: m.name, Type: m.typ, Zone: m.zone, Address: m.address, Spot: m.spot, Fit: m.wasFit,
-		Draining: m.drain, Lost: m.lost, Silent: m.silent, Notice: m.notice, CPUs: pm.CPUs, GPUs: pm.GPUs, Memory: pm.Memory}
+		Draining: m.drain, Lost: m.lost, Silent: m.silent, Notice: m.notice, Shown: m.shown, CPUs: pm.CPUs, GPUs: pm.GPUs, Memory: pm.Memory}
 	for _, r := range m.recs {
 		if r.state != exited {
 			s.Tasks++
--- a/internal/block/holder_test.go
+++ b/internal/block/holder_test.go
@@ -6,6 +6,7 @@
 	"swiftledge/internal/clock"
 	"swiftledge/internal/peer"
 	"swiftledge/internal/placement"
+	"swiftledge/internal/store"
 	"swiftledge/wire"
 )
 
@@ -168,3 +169,151 @@
 		t.Error("the silence of a whole lease is no proof")
 	}
 }
+
+func fitNow(h *Holder, at clock.Micros, name string) bool { return h.fit(at, h.blocks[0].machines[name]) }
+
+// A machine whose reports come, but which does not hear us, gets no work until it
+// has answered a command.
+func TestDeafMachineGetsNoWorkUntilItAnswers(t *testing.T) {
+	h := holding(t)
+	h.Step(now, beat("m1", 1, 50))
+	if !fitNow(h, now, "m1") {
+		t.Fatal("not fit after it showed our token")
+	}
+	lost := Ordered{Orders: Orders{Block: 0, Machine: "m1", Body: wire.Orders{Token: 50, Session: 1}}}
+	for range deafAfter {
+		h.Step(now, lost)
+	}
+	h.Step(now, beat("m1", 2, 50))
+	if fitNow(h, now, "m1") {
+		t.Error("fit although its commands go without an answer")
+	}
+	heard := lost
+	heard.Status, heard.R = 200, beat("m1", 3, 50).R
+	if h.Step(now, heard); !fitNow(h, now, "m1") {
+		t.Error("not fit after it has answered a command")
+	}
+	// Its lease runs out although its reports are answered.
+	next := beat("m1", 4, 50)
+	next.R.Session = 2
+	if h.Step(now, next); fitNow(h, now, "m1") {
+		t.Error("fit although our answers do not keep its lease")
+	}
+}
+
+// A run order may come once more, late: what it started and what was stopped stays
+// listed until the machine has shown a higher token, which refuses the copy.
+func TestStoppedTaskStaysListedUntilItsOrderIsRefused(t *testing.T) {
+	h := holding(t)
+	h.Step(now, beat("m1", 1, 50))
+	b := h.blocks[0]
+	attempt := uint64(50<<peer.AttemptBits | 1)
+	other := peer.Task{Job: "j-000002"}
+	b.add(&rec{task: other, attempt: attempt, m: b.machines["m1"], group: &peer.RecordGroup{Job: other.Job}, state: ordered, session: 1, direct: true, stop: 2})
+	exit := wire.TaskReport{Task: TaskName(other), Attempt: attempt, State: wire.Exited, Cause: wire.CauseStopped}
+	if a := answerOf(t, h.Step(now, beat("m1", 2, 50, exit))); len(a.Body.Commands) != 0 {
+		t.Errorf("commands %v while a copy of its order would be obeyed", a.Body.Commands)
+	}
+	h.Step(now, &peer.Down{Epoch: 9, Grants: []peer.Grant{{Block: 0, Token: 60, Stamp: 8, Machines: []peer.RosterMachine{{Name: "m1", Address: "a1"}}}}})
+	h.Step(now, &peer.Down{Epoch: 9, Renewed: h.renew, Tokens: map[int]uint64{0: 60}})
+	if a := answerOf(t, h.Step(now, beat("m1", 3, 60, exit))); len(a.Body.Commands) != 1 || a.Body.Commands[0].Op != wire.Forget {
+		t.Errorf("commands %v under the higher token, want forget", a.Body.Commands)
+	}
+}
+
+// A block with many of these asks for a higher token by itself.
+func TestAsksForAHigherToken(t *testing.T) {
+	h := holding(t)
+	b := h.blocks[0]
+	for i := range lingering + 1 {
+		b.add(&rec{task: peer.Task{Job: "j-000002", Index: i}, attempt: 50<<peer.AttemptBits | uint64(i+1), m: b.machines["m1"],
+			group: &peer.RecordGroup{Job: "j-000002"}, state: exited, direct: true, told: true, stored: true})
+	}
+	asked := 0
+	for i := range 2 {
+		for _, e := range h.Step(later(i), Tick{}) {
+			if s, ok := e.(Send); ok {
+				for _, u := range s.Up.Updates {
+					if u.Lost && u.Token == 50 {
+						asked++
+					}
+				}
+			}
+		}
+	}
+	if asked != 1 || h.blocks[0] == nil {
+		t.Errorf("asked %d times, want once, with the block kept until then", asked)
+	}
+}
+
+// A late copy of a report neither renews a lease nor hides silence.
+func TestLateCopyIsNotAnswered(t *testing.T) {
+	h := holding(t)
+	h.Step(now, beat("m1", 5, 50))
+	m := h.blocks[0].machines["m1"]
+	at := now + 10*clock.Second
+	for _, seq := range []uint64{4, 5} {
+		if a := answerOf(t, h.Step(at, beat("m1", seq, 50))); a.Status == 200 {
+			t.Errorf("a copy of report %d is answered with 200", seq)
+		}
+	}
+	if m.heard != now || m.answered != now {
+		t.Error("copies count as being heard or answered")
+	}
+	// One that a newer answer to a command has overtaken is no copy: the worker waits.
+	h.Step(at, Ordered{Orders: Orders{Block: 0, Machine: "m1", Body: wire.Orders{Token: 50, Session: 1}}, Status: 200, R: beat("m1", 7, 50).R})
+	if a := answerOf(t, h.Step(at, beat("m1", 6, 50))); a.Status != 200 {
+		t.Errorf("status %d for a report that was only overtaken", a.Status)
+	}
+}
+
+// A cycle costs one put whatever the number of its tasks, and what is written over a
+// page keeps all records that are not proven gone.
+func TestCycleWritesOnePage(t *testing.T) {
+	h := holding(t)
+	h.Step(now, beat("m1", 1, 50))
+	h.Step(now, beat("m2", 1, 50, running(2)))
+	offer := func(seq uint64, ref string, n int) Record {
+		t.Helper()
+		o := peer.Offer{Job: wire.Job{Ref: ref, Team: "red", CPUs: 0.01, Image: "img"}}
+		for i := range n {
+			o.Indexes = append(o.Indexes, i)
+		}
+		for _, e := range h.Step(now, &peer.Down{Epoch: 9, Orders: []peer.BlockOrders{{Block: 0, Token: 50, Seq: seq, Offers: []peer.Offer{o}}}}) {
+			if r, ok := e.(Record); ok {
+				return r
+			}
+		}
+		t.Fatal("no start records are written")
+		return Record{}
+	}
+	first := offer(1, "j-000007", 60)
+	if len(first.Pages) != 1 || first.Pages[0].Version != 0 {
+		t.Fatalf("%d pages for one cycle, want one that is new", len(first.Pages))
+	}
+	h.Step(now, first.Settled(store.Outcome{OK: true, Revision: 33}))
+	second := offer(2, "j-000008", 20)
+	if len(second.Pages) != 1 || second.Pages[0].Key != first.Pages[0].Key || second.Pages[0].Version != 33 {
+		t.Fatalf("second cycle writes %+v, want the first one's page again, guarded on its version", second.Pages)
+	}
+	n := 0
+	for i := range second.Pages[0].Page.Groups {
+		rs, err := second.Pages[0].Page.Records(&second.Pages[0].Page.Groups[i])
+		if err != nil {
+			t.Fatal(err)
+		}
+		n += len(rs)
+	}
+	if n != 80 {
+		t.Errorf("the page holds %d records, want 80", n)
+	}
+	txn, err := second.Txn()
+	if err != nil || len(txn.Then) != 1 || len(txn.Then[0].Value) > h.p.ValueBytes {
+		t.Errorf("transaction of %d puts, %v", len(txn.Then), err)
+	}
+	// No answer: a copy may be carried out yet, so the page is not written again.
+	h.Step(now, second.Settled(store.Outcome{Unsure: true}))
+	if third := offer(3, "j-000009", 5); third.Pages[0].Key == second.Pages[0].Key {
+		t.Error("writes over a page whose last write is uncertain")
+	}
+}
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -130,3 +130,47 @@
 		t.Errorf("stops %v, want tasks 1 and 0", stopped)
 	}
 }
+
+// What would always come last has its turn: a job that has not begun in time goes
+// first, and each class, and what has waited long, has a least share.
+func TestQueueStarvesNobody(t *testing.T) {
+	mk := func(class string, aged, begun bool) *queued {
+		j := &job{rec: JobRecord{Spec: wire.Job{Class: class, Tasks: 9, CPUs: 1}}, nWant: 1, out: map[int]int{}}
+		if begun {
+			j.out[0] = 1
+		}
+		return &queued{j: j, aged: aged}
+	}
+	first, second, old, never := mk("a", false, true), mk("b", false, true), mk("a", true, true), mk("a", true, false)
+	tq := &teamQueue{u: &use{cpus: 100}, q: []*queued{first, second, old, never}, use: map[string]float64{"a": 60, "b": 30, aged: 30}}
+	for _, c := range []struct {
+		what string
+		set  func()
+		want *queued
+	}{
+		{"not begun in time", func() {}, never},
+		{"nothing starves", func() { never.spent = true }, first},
+		{"a class below its least share", func() { tq.use["b"] = 5 }, second},
+		{"long waits below their least share", func() { tq.use["b"], tq.use[aged] = 30, 5 }, old},
+		{"nothing of it can be handed out", func() { old.spent = true }, first},
+	} {
+		c.set()
+		if got, _ := tq.next(0.1); got != c.want {
+			t.Errorf("%s: job of class %s, aged %t is next", c.what, got.j.rec.Spec.Class, got.aged)
+		}
+	}
+}
+
+// A machine that is only heard of may be a late copy's ghost: it is not taken into
+// the roster before it is listed or has shown a holder's token.
+func TestGhostIsNotAdopted(t *testing.T) {
+	l := leading(t)
+	s := peer.MachineState{Name: "host-000900", Type: "small", Zone: "a"}
+	if l.machineState(began, s); len(l.found) != 0 {
+		t.Error("a machine that no token reached counts as found")
+	}
+	s.Shown = true
+	if l.machineState(began, s); len(l.found) != 1 {
+		t.Error("a machine that has shown its holder's token is not found")
+	}
+}
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -54,7 +54,9 @@
 		if l.gone[s.Name] {
 			b := l.blockOf(s.Name)
 			b.orders.Gone = append(b.orders.Gone, s.Name)
-		} else if s.Type != "" {
+		} else if s.Type != "" && s.Shown {
+			// What is only heard of may be a late copy of a report of a machine long
+			// deleted; one that has seen our token is there, and so is one that is listed.
 			l.found[s.Name] = wire.Machine{Name: s.Name, Type: s.Type, Zone: s.Zone, Spot: s.Spot}
 		}
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -84,7 +84,7 @@
 			}
 			return c, nil
 		}}
-	n.desk = api.NewDesk(cfg, n.clock)
+	n.desk = api.NewDesk(cfg, n.clock.Now)
 	return n
 }
 
@@ -292,6 +292,9 @@
 	}
 	for ctx.Err() == nil && n.desk.Epoch() == epoch {
 		l, dec, err := peer.Dial(addr, peer.Hello{Node: n.cfg.Name, Run: n.run, Epoch: epoch})
+		if err == nil || errors.Is(err, peer.ErrNotLeading) {
+			n.desk.Post(api.Met{})
+		}
 		if err != nil {
 			n.log.Debug("cannot reach the leader", "error", err)
 			time.Sleep(200*time.Millisecond + rand.N(100*time.Millisecond))
@@ -299,6 +302,7 @@
 		}
 		n.holder <- holderUp{epoch, l}
 		l.Follow(dec, func(d *peer.Down) {
+			n.desk.Post(api.Met{})
 			n.desk.Post(d)
 			n.holder <- d
 		})
@@ -316,6 +320,7 @@
 			continue
 		}
 		go peer.Accept(c, me, func(h peer.Hello) bool {
+			n.desk.Post(api.Met{})
 			q := askEpoch{make(chan uint64, 1)}
 			n.elector <- q
 			epoch := <-q.answer
@@ -323,6 +328,7 @@
 		}, func(l *peer.Link) {
 			n.leader <- leader.Joined{Node: l.Peer.Node, Run: l.Peer.Run, Link: l}
 		}, func(l *peer.Link, u *peer.Up) {
+			n.desk.Post(api.Met{})
 			n.leader <- leader.Said{Node: l.Peer.Node, Link: l, Up: u}
 		}, func(l *peer.Link) {
 			n.leader <- leader.Left{Node: l.Peer.Node, Link: l}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"net"
 	"time"
@@ -78,6 +79,9 @@
 	}
 }
 
+// ErrNotLeading says that a controller was reached that does not lead the epoch.
+var ErrNotLeading = errors.New("does not lead")
+
 // Dial links a follower to the leader at addr and returns after the leader has agreed.
 func Dial(addr string, h Hello) (*Link, *msgpack.Decoder, error) {
 	c, err := netio.Dial(addr, time.Second)
@@ -95,7 +99,7 @@
 		err = dec.Decode(&back)
 	}
 	if err == nil && back.Epoch != h.Epoch {
-		err = fmt.Errorf("%s does not lead epoch %d", addr, h.Epoch)
+		err = fmt.Errorf("%w: %s, epoch %d", ErrNotLeading, addr, h.Epoch)
 	}
 	if err != nil {
 		c.Close()
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -262,6 +262,7 @@
 	Lost                      bool // silent beyond its lease
 	Silent                    bool // not heard for long, or does not hear, while its lease may hold
 	Notice                    bool
+	Shown                     bool    // it has shown the holder's token: no late copy tells of it
 	CPUs, GPUs, Memory        float64 // free
 	Tasks                     int
 	Images                    []string
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -86,30 +86,47 @@
 	var j wire.Job
 	must(json.Unmarshal(body, &j))
 	w.jobs[j.Ref] = j
+	if _, ok := w.sent[j.Ref]; !ok {
+		w.sent[j.Ref] = w.now
+	}
 	return fmt.Sprintf("%d %s", r.Code, r.Status.State)
 }
 
+// body is a submission as the command says.
+func (w *world) body(t *testing.T, d *datadriven.TestData, ref string) []byte {
+	due := any(nil)
+	if v := arg(t, d, "due", 0); v > 0 {
+		due = v
+	}
+	var types any
+	if v := arg(t, d, "type", ""); v != "" {
+		types = []string{v}
+	}
+	body, err := json.Marshal(map[string]any{"ref": ref, "lane": arg(t, d, "class", "l"), "owner": arg(t, d, "team", "red"), "shape": arg(t, d, "shape", "batch"),
+		"rank": arg(t, d, "rank", "standard"), "lots": arg(t, d, "tasks", 1), "cpus": arg(t, d, "cpus", 1.0), "accelerators": 0.0,
+		"ramGb": arg(t, d, "mem", 1.0), "kit": "img", "imageGb": 1.0, "breeds": types, "paddock": nil,
+		"together": d.HasArg("together"), "scatter": d.HasArg("scatter"), "stray": !d.HasArg("nospot"),
+		"reckonS": float64(arg(t, d, "run", 10)), "waypointS": float64(arg(t, d, "waypoint", 0)), "stashS": 2.0, "dueS": due})
+	must(err)
+	w.runS[ref] = float64(arg(t, d, "run", 10))
+	return body
+}
+
 func command(t *testing.T, w *world, d *datadriven.TestData) string {
 	node := func() *simNode { return w.nodes[arg(t, d, "node", 0)] }
 	ref := arg(t, d, "ref", "")
 	switch d.Cmd {
 	case "submit":
-		due := any(nil)
-		if v := arg(t, d, "due", 0); v > 0 {
-			due = v
+		return w.submit(node(), w.body(t, d, ref))
+	case "flood":
+		// One job after the other, until a time.
+		every, end := span(t, d, "every"), w.now+span(t, d, "for")
+		first := arg(t, d, "first", 0)
+		for i := 0; w.now+clock.Micros(i)*every < end; i++ {
+			body := w.body(t, d, fmt.Sprintf("j-%06d", first+i))
+			w.after(clock.Micros(i)*every, func() { w.submit(node(), body) })
 		}
-		var types any
-		if v := arg(t, d, "type", ""); v != "" {
-			types = []string{v}
-		}
-		body, err := json.Marshal(map[string]any{"ref": ref, "lane": "l", "owner": arg(t, d, "team", "red"), "shape": arg(t, d, "shape", "batch"),
-			"rank": arg(t, d, "rank", "standard"), "lots": arg(t, d, "tasks", 1), "cpus": arg(t, d, "cpus", 1.0), "accelerators": 0.0,
-			"ramGb": arg(t, d, "mem", 1.0), "kit": "img", "imageGb": 1.0, "breeds": types, "paddock": nil,
-			"together": d.HasArg("together"), "scatter": d.HasArg("scatter"), "stray": !d.HasArg("nospot"),
-			"reckonS": float64(arg(t, d, "run", 10)), "waypointS": float64(arg(t, d, "waypoint", 0)), "stashS": 2.0, "dueS": due})
-		must(err)
-		w.runS[ref] = float64(arg(t, d, "run", 10))
-		return w.submit(node(), body)
+		return ""
 	case "raw":
 		return w.submit(node(), []byte(d.Input))
 	case "run":
@@ -159,6 +176,11 @@
 	case "worker":
 		for _, s := range w.workers[arg(t, d, "from", 0):arg(t, d, "to", len(w.workers))] {
 			s.cut = d.HasArg("cut")
+			s.deaf = d.HasArg("deaf")
+			s.copies = span(t, d, "copies")
+			if d.HasArg("reboot") {
+				s.Reboot(w.now)
+			}
 			s.Sick = d.HasArg("sick")
 			s.holdUntil = w.now + span(t, d, "hold")
 			if d.HasArg("die") {
@@ -171,6 +193,47 @@
 				s.changed(w)
 			}
 		}
+	case "ready":
+		if !node().svc.Ready() {
+			return "503"
+		}
+		return "200"
+	case "forget":
+		w.store.Forget()
+	case "begun":
+		at, ok := w.begun[ref]
+		if !ok {
+			return "not begun"
+		}
+		if late := at - w.sent[ref]; late > span(t, d, "within") {
+			return fmt.Sprintf("after %.0f s", late.Seconds())
+		}
+		return "in time"
+	case "served":
+		// How much of what was accepted of a class or team has completed, at least.
+		done, all := 0, 0
+		for r, j := range w.jobs {
+			if j.Class == arg(t, d, "class", j.Class) && j.Team == arg(t, d, "team", j.Team) {
+				all++
+				if s := node().svc.Look(r); s.Code == 200 && s.Status.State == wire.Done {
+					done++
+				}
+			}
+		}
+		if least := arg(t, d, "least", 0.5); all == 0 || float64(done) < least*float64(all) {
+			return fmt.Sprintf("%d of %d", done, all)
+		}
+		return "enough"
+	case "known":
+		// Every accepted job answers at every controller that is up.
+		for _, n := range w.nodes {
+			for _, r := range sortedKeys(w.jobs) {
+				if n.alive && n.svc.Look(r).Code != 200 {
+					return r + " is not known to " + n.name
+				}
+			}
+		}
+		return "all"
 	case "leader":
 		for _, n := range w.nodes {
 			if n.alive && n.elector.Epoch() > 0 {
@@ -204,6 +267,11 @@
 			}
 		}
 		return fmt.Sprint(n)
+	case "machine":
+		if m := w.cloud.Machines[arg(t, d, "name", "")]; m == nil || m.Gone {
+			return "gone"
+		}
+		return "there"
 	case "noboot":
 		w.cloud.NoBoot = arg(t, d, "next", 1)
 	case "catalog":
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -64,7 +64,9 @@
 	runS    map[string]float64
 	aborted map[string]clock.Micros // when the user was told
 	broken  []string
-	ran     map[string]int // completed runs by task
+	ran     map[string]int          // completed runs by task
+	sent    map[string]clock.Micros // when a job was accepted
+	begun   map[string]clock.Micros // when its first task ran
 	stop    context.CancelFunc
 	ctx     context.Context
 }
@@ -112,6 +114,8 @@
 	// hold delivers what is sent to or from the machine late.
 	holdUntil clock.Micros
 	dead      bool
+	deaf      bool         // what it says arrives, what it is told does not
+	copies    clock.Micros // reports and commands come once more, up to this much later
 }
 
 func (w *world) after(d clock.Micros, f func()) {
@@ -129,10 +133,15 @@
 	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), cfg: cfg, ctx: ctx, stop: stop,
 		store: standin.NewStore(cfg.Facts.State.ValueKB, cfg.Facts.State.TxnOps),
 		cloud: standin.NewCloud(types, clock.FromSeconds(cfg.Facts.Cloud.ListLagS)),
-		jobs:  map[string]wire.Job{}, runS: map[string]float64{}, aborted: map[string]clock.Micros{}, ran: map[string]int{}}
+		jobs:  map[string]wire.Job{}, runS: map[string]float64{}, aborted: map[string]clock.Micros{}, ran: map[string]int{}, sent: map[string]clock.Micros{}, begun: map[string]clock.Micros{}}
 	for i := range cfg.Facts.InitialSize {
 		n := &simNode{w: w, i: i, name: fmt.Sprintf("n%d", i), cfg: cfg}
 		n.cfg.Name = n.name
+		for k := range cfg.Facts.InitialSize {
+			if k != i {
+				n.cfg.Peers = append(n.cfg.Peers, config.Peer{Name: fmt.Sprintf("n%d", k)})
+			}
+		}
 		w.nodes = append(w.nodes, n)
 		n.start()
 	}
@@ -228,6 +237,9 @@
 
 // started judges the rules that can break when a task begins to run.
 func (w *world) started(at *simWorker, t *standin.Task) {
+	if _, ok := w.begun[t.Job.Ref]; !ok {
+		w.begun[t.Job.Ref] = w.now
+	}
 	if told, ok := w.aborted[t.Job.Ref]; ok && w.now-told > clock.FromSeconds(w.cfg.Facts.Workers.CancelS) {
 		w.breaks("ran_cancelled: %s starts on %s", t.Task, at.Name)
 	}
@@ -298,6 +310,12 @@
 		w.after(wait, func() { s.busy, s.target, s.nextAt = false, to, w.now })
 	}
 	w.after(4*clock.Second, func() { next((s.target+1)%len(w.nodes), clock.Second) })
+	s.again(w, func() {
+		// Whichever controller it reaches, nobody waits for the answer.
+		if o := w.nodes[w.rng.IntN(len(w.nodes))]; o.alive && !o.blind {
+			o.holderStep(block.Report{R: r, Tag: func(block.Answer) {}})
+		}
+	})
 	s.deliver(w, func() {
 		if !n.alive {
 			next((s.target+1)%len(w.nodes), clock.Second)
@@ -308,7 +326,7 @@
 		}
 		n.holderStep(block.Report{R: r, Tag: func(a block.Answer) {
 			s.deliver(w, func() {
-				if settled || s.dead {
+				if settled || s.dead || s.deaf {
 					return
 				}
 				switch {
@@ -345,6 +363,13 @@
 	w.after(d, f)
 }
 
+// again lets a copy come late.
+func (s *simWorker) again(w *world, f func()) {
+	if s.copies > 0 {
+		w.after(clock.Second+clock.Micros(w.rng.Int64N(int64(s.copies))), f)
+	}
+}
+
 func (s *simWorker) changed(w *world) {
 	s.nextAt = min(s.nextAt, max(w.now, s.lastAt+clock.Second/2))
 }
@@ -362,7 +387,7 @@
 	n.holder = block.New(block.Params{Node: n.name, GrantTime: n.cfg.GrantTime(), Lease: n.cfg.LeaseTime(),
 		ReportTime: clock.FromSeconds(n.cfg.Facts.Workers.ReportS), ValueBytes: int(n.cfg.Facts.State.ValueKB * 900), TxnOps: n.cfg.Facts.State.TxnOps},
 		placement.Params{K: t.K, Eta: t.Eta, Epsilon: t.Epsilon, Small: t.Small}, ok)
-	n.desk = api.NewDesk(&n.cfg, clock.NewSteady())
+	n.desk = api.NewDesk(&n.cfg, func() clock.Micros { return n.w.now })
 	go n.desk.Run(n.w.ctx)
 	n.svc = api.New(&n.cfg, n, func(_ context.Context, try int) bool { return try < 3 }, n.desk, ok, nil, func() clock.Micros { return n.w.now }, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	n.look()
@@ -405,6 +430,11 @@
 				}
 			}
 		}
+		if n.jobEpoch > 0 && !n.w.store.Known(n.jobRev) {
+			epoch := n.jobEpoch
+			n.jobEpoch = 0
+			n.electorStep(election.Resign{Epoch: epoch})
+		}
 		if n.jobEpoch > 0 {
 			a := n.w.store.Since(leader.JobPrefix, n.jobRev)
 			n.jobRev = max(n.jobRev, a.Revision)
@@ -588,6 +618,10 @@
 		}
 		i := slices.IndexFunc(w.nodes, func(o *simNode) bool { return o.name == name })
 		to := w.nodes[i]
+		if to.alive && !to.cut && !n.cut && to != n {
+			n.desk.Post(api.Met{})
+			to.desk.Post(api.Met{})
+		}
 		if !to.alive || to.elector.Epoch() != epoch || (to != n && (to.cut || n.cut)) {
 			w.after(300*clock.Millisecond, n.still(func() { n.follow(epoch, name) }))
 			return
@@ -670,7 +704,7 @@
 		return
 	}
 	s.deliver(n.w, func() {
-		if s.dead {
+		if s.dead || s.deaf {
 			return
 		}
 		r := s.Report()
@@ -694,8 +728,13 @@
 			n.holderStep(done)
 		}
 	}))
+	s.again(w, func() {
+		if !s.dead && !s.deaf {
+			s.Orders(w.now, o.Body)
+		}
+	})
 	s.deliver(w, func() {
-		if s.dead {
+		if s.dead || s.deaf {
 			return
 		}
 		status, r, changed := s.Orders(w.now, o.Body)
@@ -727,6 +766,8 @@
 	case leader.Tell:
 		l := x.Link.(*simLink)
 		l.carry(func() {
+			l.follower.desk.Post(api.Met{})
+			l.leader.desk.Post(api.Met{})
 			l.follower.desk.Post(&x.Down)
 			l.follower.holderStep(&x.Down)
 		})
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -31,6 +31,7 @@
 	Puts     int
 
 	rev    uint64
+	oldest uint64 // changes after it are kept
 	items  map[string]wire.Item
 	leases map[uint64]*lease
 	nextID uint64
@@ -159,6 +160,12 @@
 	return o, ""
 }
 
+// Forget drops the changes so far: who has not seen them must read the keys again.
+func (s *Store) Forget() { s.log, s.oldest = nil, s.rev }
+
+// Known says whether the changes after a revision are still kept.
+func (s *Store) Known(rev uint64) bool { return rev >= s.oldest }
+
 // Since gives the changes under a prefix after a revision.
 func (s *Store) Since(prefix string, rev uint64) wire.WatchAnswer {
 	a := wire.WatchAnswer{Revision: s.rev}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -50,6 +50,16 @@
 	w.Kept = map[string]bool{}
 }
 
+// Reboot begins anew under the same name: nothing from before is known.
+func (w *Worker) Reboot(now clock.Micros) {
+	for _, t := range w.Tasks {
+		w.end(t, "lost")
+	}
+	w.Tasks = nil
+	w.Seq, w.Token = 0, 0
+	w.Boot(now)
+}
+
 // Advance lets time pass: images arrive, tasks end, the lease runs out. It says whether something changed.
 func (w *Worker) Advance(now clock.Micros) bool {
 	changed := false
