--- a/internal/block/holder_test.go
+++ b/internal/block/holder_test.go
@@ -170,7 +170,9 @@
 	}
 }
 
-func fitNow(h *Holder, at clock.Micros, name string) bool { return h.fit(at, h.blocks[0].machines[name]) }
+func fitNow(h *Holder, at clock.Micros, name string) bool {
+	return h.fit(at, h.blocks[0].machines[name])
+}
 
 // A machine whose reports come, but which does not hear us, gets no work until it
 // has answered a command.
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -53,8 +53,9 @@
 	link     any
 	tasks    map[peer.Task]*held
 	offerSeq uint64
-	offered  bool // an offer is not settled yet
-	known    bool // its start records were read in this epoch
+	offered  bool         // an offer is not settled yet
+	known    bool         // its start records were read in this epoch
+	homeless clock.Micros // since when it has no holder in touch; 0: it has
 	orders   peer.BlockOrders
 	unstored []peer.Task // told done, not stored yet
 }
@@ -517,7 +518,7 @@
 	var homeless []*lblock
 	for _, b := range l.blocks {
 		if b.state == writing || b.state == reading {
-			if n := l.nodes[b.holder]; n != nil {
+			if l.nodes[b.holder] != nil {
 				count[b.holder]++
 			}
 			continue
@@ -533,6 +534,9 @@
 	var todo []*lblock
 	var rest []*lblock
 	for _, b := range homeless {
+		if b.homeless == 0 {
+			b.homeless = now
+		}
 		// Its last holder still knows the machines.
 		if slices.Contains(names, b.holder) && count[b.holder] < fair {
 			count[b.holder]++
@@ -544,9 +548,19 @@
 	least := func() string {
 		return slices.MinFunc(names, func(a, c string) int { return 2*count[a] + l.bias(a) - 2*count[c] - l.bias(c) })
 	}
+	most := l.mostBlocks()
 	for _, b := range rest {
-		b.holder = least()
-		count[b.holder]++
+		to := least()
+		if count[to] >= most && now-b.homeless < l.patience() {
+			// All that is needed now is what may run there, as it counts.
+			if !b.known {
+				b.holder = ""
+				todo = append(todo, b)
+			}
+			continue
+		}
+		b.holder = to
+		count[to]++
 		todo = append(todo, b)
 	}
 	if len(todo) == 0 {
@@ -566,6 +580,23 @@
 	}
 }
 
+// mostBlocks is how many blocks a controller takes at once when others are out of
+// touch: it must be able to answer the workers of all. More would make it late with
+// every answer, so that the workers of its own blocks lose their leases, too.
+func (l *Leader) mostBlocks() int {
+	size := max(l.cfg.Facts.InitialSize, 1)
+	return (len(l.blocks)+size-1)/size + max(1, len(l.blocks)/6)
+}
+
+// patience is how long blocks beyond that wait for a holder to come back: the last
+// answers of the former one hold its workers' leases for longer.
+func (l *Leader) patience() clock.Micros {
+	if l.cfg.Facts.InitialSize <= 1 {
+		return 0
+	}
+	return l.cfg.LeaseTime() * 9 / 10
+}
+
 func (l *Leader) refusedByStore(name string, now clock.Micros) bool {
 	n := l.nodes[name]
 	return n.badSince > 0 && now-n.badSince > 3*clock.Second
@@ -593,10 +624,14 @@
 		}
 		b.state = writing
 		b.token = l.epoch<<12 | l.tokens
-		b.link = l.nodes[b.holder].link
+		var run uint64
+		b.link = nil
+		if n := l.nodes[b.holder]; n != nil {
+			b.link, run = n.link, n.run
+		}
 		tag.tokens[b.id] = b.token
 		guards = append(guards, wire.Guard{Key: block.Key(b.id), Version: b.stamp})
-		writes = append(writes, put(block.Key(b.id), BlockRecord{Token: b.token, Holder: b.holder, Run: l.nodes[b.holder].run}))
+		writes = append(writes, put(block.Key(b.id), BlockRecord{Token: b.token, Holder: b.holder, Run: run}))
 	}
 	l.commit(store.Urgent, tag, guards, writes)
 }
@@ -667,7 +702,12 @@
 			}
 		}
 	}
-	b.state, b.known = granted, true
+	b.known = true
+	if b.link == nil {
+		b.state = loose // it waits for a holder
+		return
+	}
+	b.state, b.homeless = granted, 0
 	var names []string
 	for name, mc := range l.machines {
 		if mc.block == b {
