--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -61,6 +61,7 @@
 	fenced                   clock.Micros // when it was last shown our token directly
 	recs                     []*rec       // in the order in which they came
 	free                     *placement.Machine
+	images                   *placement.Cache
 }
 
 // page is one key of start records. Pages of this grant are written over, live
@@ -232,7 +233,7 @@
 			n.session, n.seq, n.beatSession, n.beatSeq = m.session, m.seq, m.beatSession, m.beatSeq
 			n.began = m.began
 			n.heard, n.answered, n.notice, n.gone = m.heard, m.answered, m.notice, m.gone
-			n.deaf, n.unheard = m.deaf, m.unheard
+			n.deaf, n.unheard, n.images = m.deaf, m.unheard, m.images
 		}
 		b.expires = old.expires
 	}
@@ -312,7 +313,7 @@
 func (b *blk) machine(name string) *machine {
 	m := b.machines[name]
 	if m == nil {
-		m = &machine{name: name}
+		m = &machine{name: name, images: &placement.Cache{}}
 		b.machines[name] = m
 		at, _ := slices.BinarySearchFunc(b.order, name, func(o *machine, n string) int { return strings.Compare(o.name, n) })
 		b.order = slices.Insert(b.order, at, m)
@@ -508,7 +509,7 @@
 			CPUs: j.CPUs, GPUs: j.GPUs, Memory: j.MemoryGB}
 		groups = append(groups, g)
 		specs[g] = &peer.RecordGroup{Job: j.Ref, Team: j.Team, CPUs: j.CPUs, GPUs: j.GPUs, Memory: j.MemoryGB,
-			SaveS: j.SaveS, Ckpt: j.CheckpointS, Image: j.Image}
+			SaveS: j.SaveS, Ckpt: j.CheckpointS, Image: j.Image, ImageGB: j.ImageGB}
 	}
 	matches := placement.Cycle(groups, ms, h.book, h.tuning, now)
 	placed := map[peer.Task]bool{}
@@ -628,7 +629,7 @@
 		return m.free
 	}
 	t := h.types[m.typ]
-	pm := &placement.Machine{Name: m.name, Type: m.typ, Zone: m.zone, Spot: m.spot, CPUs: t.CPUs, GPUs: t.GPUs, Memory: t.MemoryGB}
+	pm := &placement.Machine{Name: m.name, Type: m.typ, Zone: m.zone, Spot: m.spot, CPUs: t.CPUs, GPUs: t.GPUs, Memory: t.MemoryGB, Images: m.images}
 	for _, r := range m.recs {
 		if r.state == exited {
 			continue
@@ -910,6 +911,7 @@
 			b.mark(m)
 			// The image is there now: the report adds it to the machine's cached ones.
 			h.book.Seen(rc.group.Image, m.name, now)
+			m.images.Use(rc.group.Image, rc.group.ImageGB, h.types[m.typ].CacheGB)
 			b.events = append(b.events, peer.Event{Task: rc.task, Kind: peer.Running, Machine: m.name})
 		}
 		if rc.stop == 1 && now > rc.stopAt+clock.FromSeconds(graceFor(rc.group.SaveS)) {
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -48,6 +48,7 @@
 	SaveS    float64  `json:"s,omitempty"`
 	Ckpt     float64  `json:"k,omitempty"`
 	Image    string   `json:"img,omitempty"`
+	ImageGB  float64  `json:"b,omitempty"`
 	// Starts has three numbers for each record: the task's index, the attempt's
 	// count within the grant, and its machine's place in the page's list.
 	Starts []int `json:"t"`
@@ -111,7 +112,7 @@
 	more := 3 + digits(index) + digits(count) + 4
 	gi, known := p.groups[g.Job]
 	if !known {
-		more += 110 + len(g.Job) + len(g.Team) + len(g.Image)
+		more += 120 + len(g.Job) + len(g.Team) + len(g.Image)
 	}
 	at, named := p.places[machine]
 	if !named {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -74,8 +74,34 @@
 	Spot               bool
 	CPUs, GPUs, Memory float64 // free
 	Unstarted          int
+	Images             *Cache // what it is known to hold; nil: nothing
 }
 
+// Cache is what is known of the images that a machine holds: those used there, the
+// latest first, as far as they fit.
+type Cache struct {
+	names []string
+	sizes []float64
+}
+
+// Use notes that an image is there and in use.
+func (c *Cache) Use(image string, gb, most float64) {
+	if i := slices.Index(c.names, image); i >= 0 {
+		c.names, c.sizes = slices.Delete(c.names, i, i+1), slices.Delete(c.sizes, i, i+1)
+	}
+	c.names, c.sizes = slices.Insert(c.names, 0, image), slices.Insert(c.sizes, 0, gb)
+	sum := 0.0
+	for i, s := range c.sizes {
+		if sum += s; sum > most && i > 0 {
+			c.names, c.sizes = c.names[:i], c.sizes[:i]
+			return
+		}
+	}
+}
+
+// Has says whether an image is known to be there.
+func (c *Cache) Has(image string) bool { return c != nil && slices.Contains(c.names, image) }
+
 // Group is a set of tasks that take the same and run in the same places; Key
 // and the index in Indexes name a task.
 type Group struct {
@@ -234,18 +260,28 @@
 		}
 		total = sum
 	}
-	// Who has no machine above eta takes the fitting one with the fewest unstarted tasks.
+	// Who has no machine above eta takes the fitting one with the fewest unstarted
+	// tasks; among these one that is known to hold the image, so that it is not fetched.
+	cached := map[string][]bool{}
 	for i := range tasks {
 		if tasks[i].at >= 0 {
 			continue
 		}
+		image := tasks[i].g.Image
+		has := cached[image]
+		if has == nil {
+			has = make([]bool, n)
+			for j, m := range machines {
+				has[j] = m.Images.Has(image)
+			}
+			cached[image] = has
+		}
 		at := -1
 		for j, m := range machines {
 			if owner[j] >= 0 || math.IsNaN(weight[i][j]) {
 				continue
 			}
-			if at < 0 || m.Unstarted < machines[at].Unstarted ||
-				(m.Unstarted == machines[at].Unstarted && m.CPUs < machines[at].CPUs) {
+			if at < 0 || lighter(m, machines[at], has[j], has[at]) {
 				at = j
 			}
 		}
@@ -254,3 +290,14 @@
 		}
 	}
 }
+
+// lighter says whether a is the better fallback than b.
+func lighter(a, b *Machine, hasA, hasB bool) bool {
+	if a.Unstarted != b.Unstarted {
+		return a.Unstarted < b.Unstarted
+	}
+	if hasA != hasB {
+		return hasA
+	}
+	return a.CPUs < b.CPUs
+}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -150,3 +150,27 @@
 		t.Errorf("%d tasks placed on no machine", len(got))
 	}
 }
+
+// Without affinity the least loaded machine is taken, of these one with the image.
+func TestFallbackSparesAFetch(t *testing.T) {
+	ms := machines(4, 4)
+	ms[1].Images, ms[3].Images = &Cache{}, &Cache{}
+	ms[1].Images.Use("x", 1, 10)
+	ms[3].Images.Use("x", 1, 10)
+	ms[1].Unstarted = 1
+	g := &Group{Key: "a", Indexes: []int{0, 1}, Image: "x", CPUs: 1}
+	got := Cycle([]*Group{g}, ms, NewBook(), params, 0)
+	if len(got) != 2 || got[0].Machine != ms[3] || got[1].Machine == ms[1] {
+		t.Errorf("placed %v, want m3 and then an idle one", got)
+	}
+}
+
+func TestCacheKeepsTheLatestThatFit(t *testing.T) {
+	c := &Cache{}
+	for _, image := range []string{"a", "b", "c", "a"} {
+		c.Use(image, 4, 10)
+	}
+	if !c.Has("a") || !c.Has("c") || c.Has("b") {
+		t.Errorf("holds %v, want a and c", c.names)
+	}
+}
