--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -193,6 +193,12 @@
 	}
 	if d.Holders != nil {
 		h.holders = d.Holders
+		for id, name := range d.Holders {
+			// The block goes elsewhere: its workers are sent there from now on.
+			if h.blocks[id] != nil && name != "" && name != h.p.Node {
+				delete(h.blocks, id)
+			}
+		}
 	}
 	for _, t := range d.Types {
 		h.types[t.Name] = t
@@ -273,11 +279,25 @@
 	}
 	h.blocks[g.Block] = b
 	b.tell = true
-	for _, r := range g.Machines {
-		h.fence(now, b, b.machines[r.Name])
+	// Most machines report here within moments, which shows them our token; a direct
+	// command to each of hundreds would cost more than all else in a takeover. Those
+	// that do not come are fenced by tick.
+	for i, r := range g.Machines {
+		if m := b.machines[r.Name]; i < fenceAtOnce {
+			h.fence(now, b, m)
+		} else {
+			m.fenced = now
+		}
 	}
 }
 
+// fenceAfter is how long a machine may take to show our token, or an answer, before
+// it is told directly, and told again.
+const fenceAfter = 4 * clock.Second
+
+// fenceAtOnce is how many of a block's machines are told directly when it is granted.
+const fenceAtOnce = 24
+
 // fence shows a machine our token without waiting for its report, which an older
 // holder that is cut off from the others may go on answering until its grant ends.
 // That holder turns the worker away as soon as it reports the newer token.
@@ -1014,7 +1034,7 @@
 				}
 			}
 		}
-		if (!m.shown && !m.lost && m.fenced > 0 || m.deaf > 0) && now-m.fenced > 4*clock.Second {
+		if (!m.shown && !m.lost && m.fenced > 0 || m.deaf > 0) && now-m.fenced > fenceAfter {
 			h.fence(now, b, m)
 		}
 		if fit := h.fit(now, m); fit != m.wasFit {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -70,7 +70,7 @@
 func New(cfg *config.Config, log *slog.Logger) *Node {
 	n := &Node{cfg: cfg, log: log, clock: clock.NewSteady(), run: rand.Uint64() >> 1,
 		elector: make(mailbox, mailboxSize), leader: make(mailbox, mailboxSize), holder: make(mailbox, mailboxSize),
-		cloudWork: make(chan func(), 64), directs: make(chan struct{}, 24)}
+		cloudWork: make(chan func(), 64), directs: make(chan struct{}, 64)}
 	n.health = newHealth()
 	n.store = store.New(cfg.Endpoints.State, n.share(false), n.health.note)
 	n.cloud = cloud.New(cfg.Endpoints.Cloud, cfg.Facts.Cloud.RPS)
