--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -1020,7 +1020,8 @@
 			quiet = min(quiet, h.p.ReportTime*5/2) // announced, so it needs no second look
 		}
 		knows := m.heard > 0 || len(m.recs) > 0
-		silent := knows && now-since > quiet || m.deaf > 0 && now-m.deaf > quiet
+		// One that is only in the roster may not be up yet; the leader knows which were.
+		silent := (knows || m.known) && now-since > quiet || m.deaf > 0 && now-m.deaf > quiet
 		if silent != m.silent {
 			m.silent = silent
 			b.mark(m)
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -62,7 +62,10 @@
 		return
 	}
 	if s.Type == "" {
-		return // known by name only, not heard yet
+		// Known by name only, not heard yet. One that was up under its former holder,
+		// and ended while the block changed hands, would never be missed otherwise.
+		m.state.Silent = m.up && s.Silent
+		return
 	}
 	m.up = true
 	m.address = s.Address
@@ -344,7 +347,7 @@
 		switch {
 		case m.missing >= 1000:
 			why = "failed"
-		case m.missing >= 3 && (m.state.Silent || !m.up):
+		case m.missing >= 3 && (m.state.Silent || !m.up || now-m.listed > 3*lag+10*clock.Second):
 			why = "no longer listed"
 		// Many silent machines at once point at the holder, not at them.
 		case m.state.Silent && (m.state.Notice || silent[b]*2 < up[b] || silent[b] == 1):
