--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -266,8 +266,9 @@
 				rc := &rec{task: peer.Task{Job: grp.Job, Index: r.Index}, attempt: r.Attempt, m: m, group: grp, state: ordered, inherited: true}
 				b.add(rc)
 				pg.add(rc)
-				if !m.known {
-					// Machines leave the roster only after their proven end.
+				if !m.known || m.gone {
+					// Machines leave the roster only after their proven end, some time after it:
+					// a new leader may still list what its predecessor has deleted.
 					over = append(over, rc)
 				}
 			}
@@ -1110,7 +1111,7 @@
 func (h *Holder) state(m *machine) peer.MachineState {
 	pm := h.room(m)
 	s := peer.MachineState{Name: m.name, Type: m.typ, Zone: m.zone, Address: m.address, Spot: m.spot, Fit: m.wasFit,
-		Draining: m.drain, Lost: m.lost, Silent: m.silent, Notice: m.notice, Shown: m.shown, CPUs: pm.CPUs, GPUs: pm.GPUs, Memory: pm.Memory}
+		Draining: m.drain, Lost: m.lost, Silent: m.silent, Notice: m.notice, Gone: m.gone, Shown: m.shown, CPUs: pm.CPUs, GPUs: pm.GPUs, Memory: pm.Memory}
 	for _, r := range m.recs {
 		if r.state != exited {
 			s.Tasks++
--- a/internal/block/holder_test.go
+++ b/internal/block/holder_test.go
@@ -319,3 +319,30 @@
 		t.Error("writes over a page whose last write is uncertain")
 	}
 }
+
+// A new leader's roster may still list a machine that its predecessor has deleted,
+// with start records on it. The holder knows better: they are over, and the leader hears.
+func TestDeletedMachineIsNotWaitedFor(t *testing.T) {
+	h := holding(t)
+	h.Step(now, &peer.Down{Epoch: 9, Orders: []peer.BlockOrders{{Block: 0, Token: 50, Gone: []string{"m1"}}}})
+	h.Step(now, Linked{Epoch: 10})
+	page := peer.RecordPage{Machines: []string{"m1"}, Groups: []peer.RecordGroup{{Job: task.Job, Team: "red", CPUs: 1, Starts: []int{3, 1, 0}}}}
+	fx := h.Step(later(2), &peer.Down{Epoch: 10, Grants: []peer.Grant{{Block: 0, Token: 60, Stamp: 8,
+		Machines: []peer.RosterMachine{{Name: "m1", Address: "a1"}, {Name: "m2"}}, Pages: map[string]peer.RecordPage{"run/000/1-1": page}}}})
+	if ev := eventsOf(fx); len(ev) != 1 || ev[0] != peer.Back {
+		t.Errorf("events %v, want the task back", ev)
+	}
+	told := false
+	for _, e := range fx {
+		if s, ok := e.(Send); ok {
+			for _, u := range s.Up.Updates {
+				for _, m := range u.Machines {
+					told = told || m.Name == "m1" && m.Gone
+				}
+			}
+		}
+	}
+	if !told {
+		t.Error("the leader is not told that m1 is gone")
+	}
+}
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -174,3 +174,12 @@
 		t.Error("a machine that has shown its holder's token is not found")
 	}
 }
+
+// What a former leader has deleted leaves the roster on its holder's word.
+func TestHolderTellsOfDeletedMachine(t *testing.T) {
+	l := leading(t)
+	l.machineState(began, peer.MachineState{Name: names[0], Gone: true})
+	if l.machines[names[0]] != nil || !l.gone[names[0]] || l.machines[names[1]] == nil {
+		t.Error("the deleted machine, and no other, must leave the books")
+	}
+}
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -61,6 +61,10 @@
 		}
 		return
 	}
+	if s.Gone {
+		l.bury(s.Name)
+		return
+	}
 	if s.Type == "" {
 		// Known by name only, not heard yet. One that was up under its former holder,
 		// and ended while the block changed hands, would never be missed otherwise.
@@ -312,11 +316,16 @@
 			mc.deleting = false
 			continue
 		}
-		delete(l.machines, name)
-		l.gone[name] = true
-		if b := l.blockOf(name); b.state == granted {
-			b.orders.Gone = append(b.orders.Gone, name)
-		}
+		l.bury(name)
+	}
+}
+
+// bury takes out a machine that is deleted.
+func (l *Leader) bury(name string) {
+	delete(l.machines, name)
+	l.gone[name] = true
+	if b := l.blockOf(name); b.state == granted {
+		b.orders.Gone = append(b.orders.Gone, name)
 	}
 }
 
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -263,6 +263,7 @@
 	Lost                      bool // silent beyond its lease
 	Silent                    bool // not heard for long, or does not hear, while its lease may hold
 	Notice                    bool
+	Gone                      bool    // a leader, maybe a former one, had the cloud's word that it is deleted
 	Shown                     bool    // it has shown the holder's token: no late copy tells of it
 	CPUs, GPUs, Memory        float64 // free
 	Tasks                     int
