--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -133,7 +133,7 @@
 	t.Placement.Epsilon = 0.01
 	t.Placement.Small = 0.5
 	t.Placement.CycleS = 2
-	t.Queues.StartWithinS = 120
+	t.Queues.StartWithinS = 90
 	t.Queues.LeastShare = 0.25
 	t.Grants.Blocks = 6
 	t.Grants.TimeS = 30
