--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -134,6 +134,7 @@
 	sentAt  map[uint64]clock.Micros
 	renewed clock.Micros
 	flushed clock.Micros
+	heard   clock.Micros // when any worker was last heard
 	storeOK func() bool
 	fx      []any
 }
@@ -183,7 +184,33 @@
 	h.renewed = now
 	h.sentAt[h.renew] = now
 	delete(h.sentAt, h.renew-16)
-	h.emit(Send{peer.Up{Epoch: h.epoch, Renew: h.renew, StoreOK: h.storeOK()}})
+	h.emit(Send{peer.Up{Epoch: h.epoch, Renew: h.renew, StoreOK: h.storeOK(), Blind: h.blind(now)}})
+}
+
+// blindAmong is how many workers must fall silent together to point at this
+// controller's own network instead of them.
+const blindAmong = 3
+
+// blind says whether all workers fell silent at once, so that another controller
+// had better speak to them before their leases run out.
+func (h *Holder) blind(now clock.Micros) bool {
+	// Each reports at least every 1.25 report times.
+	long := h.p.ReportTime*3/2 + clock.Second/2
+	if now-h.heard < long {
+		return false
+	}
+	n := 0
+	for _, b := range h.blocks {
+		if now-b.since < long+clock.Second {
+			return false // its workers are still on their way here
+		}
+		for _, m := range b.order {
+			if (m.heard > 0 || len(m.recs) > 0) && !m.gone && !m.lost {
+				n++
+			}
+		}
+	}
+	return n >= blindAmong
 }
 
 func (h *Holder) down(now clock.Micros, d *peer.Down) {
@@ -842,6 +869,7 @@
 	if r.Session > m.session {
 		m.began = now
 	}
+	h.heard = now
 	m.session, m.seq = r.Session, r.Seq
 	m.address, m.typ, m.zone, m.spot = r.Address, r.Type, r.Zone, r.Spot
 	m.notice = r.NoticeS != nil
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -22,6 +22,8 @@
 	link     any
 	joined   clock.Micros
 	heard    clock.Micros
+	blindAt  clock.Micros // when it last heard none of its workers
+	tried    clock.Micros // when it was last given a block after that
 	badSince clock.Micros // since when the state service refuses it; 0: it does not
 }
 
@@ -400,6 +402,9 @@
 		return
 	}
 	n.heard = now
+	if m.Up.Blind {
+		n.blindAt = now
+	}
 	if m.Up.StoreOK {
 		n.badSince = 0
 	} else if n.badSince == 0 {
@@ -510,8 +515,9 @@
 		return
 	}
 	names := slices.Sorted(maps.Keys(l.nodes))
-	// A holder that the state service alone refuses cannot record starts.
-	if able := slices.DeleteFunc(slices.Clone(names), func(n string) bool { return l.refusedByStore(n, now) }); len(able) > 0 {
+	// A holder that the state service alone refuses cannot record starts, one that hears
+	// no worker cannot keep their leases.
+	if able := slices.DeleteFunc(slices.Clone(names), func(n string) bool { return l.refusedByStore(n, now) || l.blind(n, now) }); len(able) > 0 {
 		names = able
 	}
 	count := map[string]int{}
@@ -565,9 +571,12 @@
 	}
 	if len(todo) == 0 {
 		to := least()
+		n := l.nodes[to]
+		// One that heard no worker is tried with a single block first.
+		trying := n.blindAt > 0 && now-n.tried < blindFor/2
 		for _, b := range l.blocks {
-			if b.state == granted && count[b.holder] >= count[to]+2 && now-l.nodes[to].joined > 2*clock.Second {
-				b.holder = to
+			if b.state == granted && count[b.holder] >= count[to]+2 && now-n.joined > 2*clock.Second && !trying {
+				b.holder, n.tried = to, now
 				todo = append(todo, b)
 				break
 			}
@@ -580,12 +589,19 @@
 	}
 }
 
+// reportCost is about what one worker's report takes of a core, all that follows from
+// it included.
+const reportCost = 0.001
+
 // mostBlocks is how many blocks a controller takes at once when others are out of
 // touch: it must be able to answer the workers of all. More would make it late with
 // every answer, so that the workers of its own blocks lose their leases, too.
 func (l *Leader) mostBlocks() int {
-	size := max(l.cfg.Facts.InitialSize, 1)
-	return (len(l.blocks)+size-1)/size + max(1, len(l.blocks)/6)
+	f := &l.cfg.Facts
+	size := max(f.InitialSize, 1)
+	share := (len(l.blocks)+size-1)/size + max(1, len(l.blocks)/6)
+	able := f.Quota.CPU / reportCost * f.Workers.ReportS / max(1, float64(len(l.machines))) * float64(len(l.blocks))
+	return max(share, int(min(able, float64(len(l.blocks)))))
 }
 
 // patience is how long blocks beyond that wait for a holder to come back: the last
@@ -602,6 +618,14 @@
 	return n.badSince > 0 && now-n.badSince > 3*clock.Second
 }
 
+// blindFor is how long a controller that heard no worker is left without blocks.
+const blindFor = 30 * clock.Second
+
+func (l *Leader) blind(name string, now clock.Micros) bool {
+	n := l.nodes[name]
+	return n.blindAt > 0 && now-n.blindAt < blindFor
+}
+
 // bias lets the leader have fewer blocks, as it has more to do.
 func (l *Leader) bias(name string) int {
 	if name == l.self {
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -287,5 +287,6 @@
 	Epoch    uint64
 	Renew    uint64
 	StoreOK  bool
+	Blind    bool // with Renew: none of its workers has been heard for long
 	Updates  []BlockUpdate
 }
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -65,6 +65,7 @@
 	f.State.RPS, f.State.WriteRPS = 100, 20
 	f.State.ValueKB, f.State.TxnOps = float64(arg(t, d, "value_kb", 4)), 8
 	f.Cloud.RPS, f.Cloud.ListLagS = 4, 4
+	f.Quota.CPU, f.Quota.MemMB, f.Quota.MaxSockets = 0.1, 125, 1500
 	types := []wire.MachineType{
 		{Name: "small", CPUs: 4, MemoryGB: 8, CacheGB: 40, FetchGBPS: 1, Price: 0.3, SpotPrice: 0.1, BootS: 10, ZoneNames: []string{"a", "b"}},
 		{Name: "big", CPUs: 16, MemoryGB: 64, CacheGB: 40, FetchGBPS: 1, Price: 1.3, SpotPrice: 0.5, BootS: 10, ZoneNames: []string{"a"}},
@@ -198,6 +199,14 @@
 			return "503"
 		}
 		return "200"
+	case "lost":
+		// Sessions that ended because a lease ran out.
+		for _, s := range w.workers {
+			if s.Session > 1 {
+				return "leases"
+			}
+		}
+		return "none"
 	case "forget":
 		w.store.Forget()
 	case "begun":
