--- /dev/null
+++ b/internal/block/cycle.go
@@ -0,0 +1,250 @@
+package block
+
+import (
+	"slices"
+	"strconv"
+
+	"swiftledge/internal/clock"
+	"swiftledge/internal/peer"
+	"swiftledge/internal/placement"
+	"swiftledge/wire"
+)
+
+// page is one key of start records. Pages of this grant are written over, live
+// records first, so that a cycle costs one put and no deletes; those of earlier
+// grants, and those whose last write is uncertain, are only erased.
+type page struct {
+	key     string
+	version uint64
+	recs    []*rec // whose attempts are not proven gone
+	fixed   bool   // never written again
+	empty   clock.Micros
+}
+
+func (p *page) add(r *rec) {
+	r.page, r.place = p, len(p.recs)
+	p.recs = append(p.recs, r)
+}
+
+func (p *page) drop(r *rec) {
+	last := p.recs[len(p.recs)-1]
+	p.recs[r.place], last.place = last, r.place
+	p.recs = p.recs[:len(p.recs)-1]
+	r.page = nil
+}
+
+// cycleWrite is the one write of start records that a block has under way.
+type cycleWrite struct {
+	seq   int
+	pages []*page
+	recs  []*rec
+}
+
+// cycle places offered tasks by auctions, and writes the start records of what
+// found a place. One write at a time: what comes meanwhile gathers with the
+// leader, so the state service's limit sets the length of the cycles.
+func (h *Holder) cycle(now clock.Micros, b *blk, offers []peer.Offer) {
+	var ms []*placement.Machine
+	if b.writing == nil && now < b.expires {
+		for _, m := range b.order {
+			if h.fit(now, m) && !m.rest {
+				if pm := h.room(m); pm.CPUs > 0 {
+					ms = append(ms, pm)
+				}
+			}
+		}
+	}
+	var groups []*placement.Group
+	specs := map[*placement.Group]*peer.RecordGroup{}
+	for i := range offers {
+		o := &offers[i]
+		j := &o.Job
+		zone := j.Zone
+		if o.Zone != "" {
+			zone = o.Zone
+		}
+		g := &placement.Group{Key: j.Ref, Indexes: o.Indexes, Image: j.Image, Zone: zone, Types: j.Types, Spot: j.Spot,
+			CPUs: j.CPUs, GPUs: j.GPUs, Memory: j.MemoryGB}
+		groups = append(groups, g)
+		specs[g] = &peer.RecordGroup{Job: j.Ref, Team: j.Team, CPUs: j.CPUs, GPUs: j.GPUs, Memory: j.MemoryGB,
+			SaveS: j.SaveS, Ckpt: j.CheckpointS, Image: j.Image, ImageGB: j.ImageGB}
+	}
+	matches := placement.Cycle(groups, ms, h.book, h.tuning, now)
+	placed := map[peer.Task]bool{}
+	w := newCycleWriter(h, b)
+	for _, mt := range matches {
+		m := b.machines[mt.Machine.Name]
+		m.free = nil // the auction has taken from it
+		b.counter++
+		r := &rec{task: peer.Task{Job: mt.Group.Key, Index: mt.Index}, attempt: b.token<<peer.AttemptBits | b.counter, m: m,
+			group: specs[mt.Group], session: m.session}
+		if !w.add(r) {
+			continue // more than one transaction holds: another cycle's
+		}
+		placed[r.task] = true
+		b.add(r)
+		b.events = append(b.events, peer.Event{Task: r.task, Kind: peer.Started, Machine: m.name})
+	}
+	w.write()
+	for _, g := range groups {
+		for _, i := range g.Indexes {
+			if t := (peer.Task{Job: g.Key, Index: i}); !placed[t] {
+				b.events = append(b.events, peer.Event{Task: t, Kind: peer.Unplaced})
+			}
+		}
+	}
+}
+
+// txnBytes is what the values of one transaction may take together.
+const txnBytes = 56 << 10
+
+// cycleWriter fills pages with a cycle's records, those with most room first.
+type cycleWriter struct {
+	h      *Holder
+	b      *blk
+	usable []*page // emptiest first
+	cw     *cycleWrite
+	out    []PageWrite
+	pager  *peer.Pager
+}
+
+func newCycleWriter(h *Holder, b *blk) *cycleWriter {
+	w := &cycleWriter{h: h, b: b, cw: &cycleWrite{seq: b.writeSeq + 1}}
+	for _, p := range b.pages {
+		if !p.fixed {
+			w.usable = append(w.usable, p)
+		}
+	}
+	slices.SortStableFunc(w.usable, func(a, c *page) int { return len(a.recs) - len(c.recs) })
+	return w
+}
+
+func (w *cycleWriter) add(r *rec) bool {
+	for {
+		if w.pager != nil && w.pager.Add(r.group, r.task.Index, r.attempt, r.m.name) {
+			w.cw.pages[len(w.cw.pages)-1].add(r)
+			w.cw.recs = append(w.cw.recs, r)
+			return true
+		}
+		w.close()
+		if len(w.out) >= min(w.h.p.TxnOps, max(1, txnBytes/w.h.p.ValueBytes)) {
+			return false
+		}
+		w.open()
+	}
+}
+
+// open begins the next page, with what it already holds.
+func (w *cycleWriter) open() {
+	w.pager = peer.NewPager(w.b.token, w.h.p.ValueBytes)
+	if len(w.usable) > 0 {
+		p := w.usable[0]
+		w.usable = w.usable[1:]
+		full := false
+		for _, r := range p.recs {
+			full = full || !w.pager.Add(r.group, r.task.Index, r.attempt, r.m.name)
+		}
+		if !full {
+			w.cw.pages = append(w.cw.pages, p)
+			return
+		}
+		// All the others are fuller still.
+		w.usable = nil
+		w.pager = peer.NewPager(w.b.token, w.h.p.ValueBytes)
+	}
+	w.b.pageSeq++
+	p := &page{key: RecordPrefix(w.b.id) + strconv.FormatUint(w.b.token, 10) + "-" + strconv.Itoa(w.b.pageSeq)}
+	w.b.pages = append(w.b.pages, p)
+	w.cw.pages = append(w.cw.pages, p)
+}
+
+func (w *cycleWriter) close() {
+	if w.pager == nil {
+		return
+	}
+	p := w.cw.pages[len(w.cw.pages)-1]
+	w.out = append(w.out, PageWrite{Key: p.key, Version: p.version, Page: w.pager.Page()})
+	w.pager = nil
+}
+
+func (w *cycleWriter) write() {
+	if w.close(); len(w.cw.recs) == 0 {
+		return
+	}
+	w.b.writeSeq++
+	w.b.writing = w.cw
+	w.h.emit(Record{Block: w.b.id, Token: w.b.token, Seq: w.cw.seq, Stamp: w.b.stamp, Pages: w.out})
+}
+
+func (h *Holder) recorded(now clock.Micros, m Recorded) {
+	b := h.blocks[m.Block]
+	if b == nil || b.token != m.Token {
+		return
+	}
+	if m.Fenced {
+		// Another holder has the block: what we know of it counts no more.
+		h.void(b)
+		return
+	}
+	w := b.writing
+	if w == nil || w.seq != m.Seq {
+		return
+	}
+	b.writing = nil
+	b.seq, b.tell = b.taken, true
+	for _, p := range w.pages {
+		// Without the new version no guard would protect the next write: what the
+		// page holds, before or after this one, covers all that may run.
+		if m.Revision > 0 {
+			p.version = m.Revision
+		} else if !m.Never {
+			p.fixed = true
+		}
+	}
+	var to []*machine
+	cmds := map[*machine][]wire.Command{}
+	for _, r := range w.recs {
+		mc := r.m
+		if !m.OK || r.stop > 0 || now >= b.expires || mc.gone || mc.lost || mc.session != r.session {
+			// Never ordered: it can run nowhere.
+			b.lose(r, peer.Back)
+			continue
+		}
+		r.state = ordered
+		if mc.reachable() {
+			r.inflight++
+			r.direct = true
+		}
+		if cmds[mc] == nil {
+			to = append(to, mc)
+		}
+		cmds[mc] = append(cmds[mc], r.run())
+	}
+	for _, mc := range to {
+		h.direct(b, mc, cmds[mc])
+	}
+}
+
+// tidy erases pages that name no attempt any more.
+func (h *Holder) tidy(now clock.Micros, b *blk) {
+	b.pages = slices.DeleteFunc(b.pages, func(p *page) bool {
+		switch {
+		case len(p.recs) > 0 || b.writing != nil && slices.Contains(b.writing.pages, p):
+			p.empty = 0
+			return false
+		case p.empty == 0:
+			p.empty = now
+		}
+		if p.fixed || now-p.empty > 5*clock.Second {
+			b.erase = append(b.erase, p.key)
+			return true
+		}
+		return false
+	})
+	if n := len(b.erase); n > 0 && now < b.expires && (n >= h.p.TxnOps || now-b.erasedAt > 5*clock.Second) {
+		n = min(n, h.p.TxnOps)
+		h.emit(Erase{Block: b.id, Stamp: b.stamp, Keys: slices.Clone(b.erase[:n])})
+		b.erase = b.erase[n:]
+		b.erasedAt = now
+	}
+}
--- /dev/null
+++ b/internal/block/dialogue.go
@@ -0,0 +1,368 @@
+package block
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+
+	"swiftledge/internal/clock"
+	"swiftledge/internal/peer"
+	"swiftledge/wire"
+)
+
+// blindAmong is how many workers must fall silent together to point at this
+// controller's own network instead of them.
+const blindAmong = 3
+
+// blind says whether all workers fell silent at once, so that another controller
+// had better speak to them before their leases run out.
+func (h *Holder) blind(now clock.Micros) bool {
+	// Each reports at least every 1.25 report times.
+	long := h.p.ReportTime*3/2 + clock.Second/2
+	if now-h.heard < long {
+		return false
+	}
+	n := 0
+	for _, b := range h.blocks {
+		if now-b.since < long+clock.Second {
+			return false // its workers are still on their way here
+		}
+		for _, m := range b.order {
+			if (m.heard > 0 || len(m.recs) > 0) && !m.gone && !m.lost {
+				n++
+			}
+		}
+	}
+	return n >= blindAmong
+}
+
+// fenceAfter is how long a machine may take to show our token, or an answer, before
+// it is told directly, and told again.
+const fenceAfter = 4 * clock.Second
+
+// fenceAtOnce is how many of a block's machines are told directly when it is granted.
+const fenceAtOnce = 24
+
+// fence shows a machine our token without waiting for its report, which an older
+// holder that is cut off from the others may go on answering until its grant ends.
+// That holder turns the worker away as soon as it reports the newer token.
+func (h *Holder) fence(now clock.Micros, b *blk, m *machine) {
+	if m.address == "" || m.gone {
+		return
+	}
+	m.fenced = now
+	if m.session > 0 {
+		h.direct(b, m, []wire.Command{})
+		return
+	}
+	h.emit(Inspect{Block: b.id, Token: b.token, Machine: m.name, Address: m.address})
+}
+
+func (h *Holder) inspected(now clock.Micros, a Inspected) {
+	b := h.blocks[a.Block]
+	if b == nil || b.token != a.Token || a.R == nil {
+		return
+	}
+	m := b.machines[a.Machine]
+	if m == nil || m.gone || m.shown {
+		return
+	}
+	if a.R.Token > b.token {
+		h.void(b)
+		return
+	}
+	h.observe(now, b, m, a.R, false)
+	h.direct(b, m, []wire.Command{})
+}
+
+func (r *rec) kill() wire.Command {
+	grace := 0.0
+	if r.stop == 1 {
+		grace = graceFor(r.group.SaveS)
+	}
+	return wire.Command{Op: wire.Kill, Task: TaskName(r.task), Attempt: r.attempt, GraceS: &grace}
+}
+
+func (r *rec) run() wire.Command {
+	return wire.Command{Op: wire.Run, Task: TaskName(r.task), Attempt: r.attempt}
+}
+
+// graceFor leaves a task more time than it says it needs to save.
+func graceFor(save float64) float64 { return save*1.5 + 2 }
+
+// TaskName is a task as workers write it.
+func TaskName(t peer.Task) string { return t.Job + "/" + strconv.Itoa(t.Index) }
+
+func parseTask(s string) (peer.Task, bool) {
+	job, idx, ok := strings.Cut(s, "/")
+	n, err := strconv.Atoi(idx)
+	return peer.Task{Job: job, Index: n}, ok && err == nil
+}
+
+// reachable says whether a direct command can be sent.
+func (m *machine) reachable() bool { return m.address != "" && m.session > 0 }
+
+func (h *Holder) direct(b *blk, m *machine, cmds []wire.Command) {
+	if !m.reachable() {
+		return // the next report's answer carries it
+	}
+	h.emit(Orders{Block: b.id, Machine: m.name, Address: m.address,
+		Body: wire.Orders{Token: b.token, Session: m.session, Commands: cmds}})
+}
+
+// answered handles the end of a direct command.
+func (h *Holder) answered(now clock.Micros, a Ordered) {
+	b := h.blocks[a.Block]
+	if b == nil || b.token != a.Body.Token {
+		return
+	}
+	m := b.machines[a.Machine]
+	if m == nil || m.gone {
+		return
+	}
+	if a.R != nil && a.R.Token > b.token {
+		h.void(b)
+		return
+	}
+	if a.Status == 200 || a.Status == 409 || a.Status == NotSent {
+		// Answered or never sent: this copy is carried out or never will be.
+		for _, c := range a.Body.Commands {
+			if c.Op == wire.Run {
+				if r := m.find(c.Attempt); r != nil && r.inflight > 0 {
+					r.inflight--
+				}
+			}
+		}
+	}
+	if a.R == nil {
+		if m.unheard++; m.unheard >= deafAfter {
+			h.deafen(now, b, m)
+		}
+		return
+	}
+	// It hears: what it said proves that a command came through.
+	m.unheard = 0
+	if m.deaf > 0 {
+		m.deaf = 0
+		b.mark(m)
+	}
+	h.observe(now, b, m, a.R, false)
+}
+
+// deafAfter is how many direct commands in a row go without an answer before a
+// machine counts as deaf.
+const deafAfter = 2
+
+// deafen notes that a machine does not hear us, though its reports may come: it
+// gets no work until it has answered a command. Its tasks end with its lease; the
+// next session that it reports proves it.
+func (h *Holder) deafen(now clock.Micros, b *blk, m *machine) {
+	if m.deaf == 0 {
+		m.deaf = now
+		b.mark(m)
+	}
+}
+
+// report answers a worker.
+func (h *Holder) report(now clock.Micros, msg Report) {
+	if len(h.holders) == 0 {
+		h.emit(Answer{Tag: msg.Tag, Status: 503})
+		return
+	}
+	r := msg.R
+	id := Of(r.Machine, len(h.holders))
+	b := h.blocks[id]
+	if b == nil || now >= b.expires {
+		to := h.holders[id]
+		if to == h.p.Node {
+			to = ""
+		}
+		h.emit(Answer{Tag: msg.Tag, Status: 421, Redirect: wire.Redirect{ReportTo: to}})
+		return
+	}
+	if r.Token > b.token {
+		// A newer holder has spoken to this machine.
+		h.void(b)
+		h.emit(Answer{Tag: msg.Tag, Status: 421})
+		return
+	}
+	m := b.machine(r.Machine)
+	if m.gone {
+		h.emit(Answer{Tag: msg.Tag, Status: 503})
+		return
+	}
+	if r.Session < m.beatSession || r.Session == m.beatSession && r.Seq <= m.beatSeq {
+		// A late copy: the worker sends one report at a time and has sent a newer one
+		// since. Nobody waits for this answer; it neither renews a lease nor hides silence.
+		h.emit(Answer{Tag: msg.Tag, Status: 503})
+		return
+	}
+	m.beatSession, m.beatSeq = r.Session, r.Seq
+	if r.Session > m.session && m.session > 0 && m.answered > 0 && now-m.answered < h.p.Lease && m.shown {
+		// Its lease ran out although we answered: the answers do not arrive.
+		h.deafen(now, b, m)
+	}
+	cmds := h.observe(now, b, m, r, true)
+	m.answered = now
+	h.emit(Answer{Tag: msg.Tag, Status: 200, Body: wire.ReportAnswer{Token: b.token, Commands: cmds}})
+}
+
+// observe takes in a worker's report and gives the commands to answer it with.
+// beat tells a report of the worker's own from the answer to a direct command.
+func (h *Holder) observe(now clock.Micros, b *blk, m *machine, r *wire.Report, beat bool) []wire.Command {
+	none := []wire.Command{}
+	if r.Session < m.session || (r.Session == m.session && r.Seq <= m.seq) {
+		return none // older than what is known: it proves nothing
+	}
+	if m.typ != r.Type || m.notice != (r.NoticeS != nil) || m.lost || m.silent && m.deaf == 0 {
+		b.mark(m)
+		m.silent = m.silent && m.deaf > 0
+	}
+	if r.Session > m.session {
+		m.began = now
+	}
+	h.heard = now
+	m.session, m.seq = r.Session, r.Seq
+	m.address, m.typ, m.zone, m.spot = r.Address, r.Type, r.Zone, r.Spot
+	m.notice = r.NoticeS != nil
+	m.heard = now
+	m.lost = false
+	if r.Token != b.token {
+		// Not fenced yet: an older holder's commands may still be carried out.
+		return none
+	}
+	if !m.shown {
+		m.shown = true
+		b.mark(m)
+	}
+	cmds := none
+	listed := make([]bool, len(m.recs))
+	had := slices.Clone(m.recs)
+	next := 0
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		// Reports mostly list the tasks in the order in which they were given.
+		at := -1
+		for k := range had {
+			if x := (next + k) % len(had); had[x].attempt == t.Attempt {
+				at = x
+				break
+			}
+		}
+		if at >= 0 {
+			next = at + 1
+			if rc := had[at]; rc.state != recording {
+				listed[at] = true
+				if rc.inherited {
+					rc.session = m.session
+				}
+				cmds = h.present(now, b, m, rc, t, cmds)
+			}
+			continue
+		}
+		// Its record is gone, so its end was proven and stored; only what is left of it shows.
+		if t.State == wire.Exited {
+			cmds = append(cmds, wire.Command{Op: wire.Forget, Task: t.Task, Attempt: t.Attempt})
+		} else {
+			zero := 0.0
+			cmds = append(cmds, wire.Command{Op: wire.Kill, Task: t.Task, Attempt: t.Attempt, GraceS: &zero})
+		}
+	}
+	for i, rc := range had {
+		if listed[i] || rc.state == recording {
+			continue
+		}
+		if h.absent(m, rc, beat) {
+			b.lose(rc, peer.Back)
+		} else if rc.state == ordered && rc.stop == 0 {
+			// The direct order has not been seen: the same one again does no harm.
+			cmds = append(cmds, rc.run())
+		}
+	}
+	return cmds
+}
+
+// absent says whether an attempt that a current report does not list is gone.
+func (h *Holder) absent(m *machine, rc *rec, beat bool) bool {
+	switch {
+	case rc.inherited && rc.state == ordered:
+		return true // ordered under an older token, which this machine obeys no more
+	case rc.session < m.session:
+		return true // the worker's lease ran out: all it had is gone, orders for that session are void
+	case rc.inflight > 0:
+		return false // the order may be carried out yet
+	case rc.state == shown:
+		return false // a worker never drops a task by itself within a session
+	case rc.state == ordered && (rc.stop == 0 || !beat):
+		// No direct order is on its way. One in a report's answer is carried out
+		// or dropped before the worker's next report of its own.
+		return false
+	}
+	return true
+}
+
+func (h *Holder) present(now clock.Micros, b *blk, m *machine, rc *rec, t *wire.TaskReport, cmds []wire.Command) []wire.Command {
+	if t.State != wire.Exited {
+		if rc.state != shown {
+			rc.state = shown
+			b.mark(m)
+		}
+		if t.State == wire.Running && !rc.running {
+			rc.running, rc.startedAt = true, now
+			b.mark(m)
+			// The image is there now: the report adds it to the machine's cached ones.
+			h.book.Seen(rc.group.Image, m.name, now)
+			m.images.Use(rc.group.Image, rc.group.ImageGB, h.types[m.typ].CacheGB)
+			b.events = append(b.events, peer.Event{Task: rc.task, Kind: peer.Running, Machine: m.name})
+		}
+		if rc.stop == 1 && now > rc.stopAt+clock.FromSeconds(graceFor(rc.group.SaveS)) {
+			rc.stop = 2
+		}
+		if rc.stop > 0 {
+			cmds = append(cmds, rc.kill())
+		}
+		return cmds
+	}
+	if rc.state != exited {
+		rc.state = exited
+		b.mark(m)
+	}
+	if !rc.told {
+		ev := peer.Event{Task: rc.task, Machine: m.name}
+		switch t.Cause {
+		case wire.CauseDone:
+			ev.Kind = peer.Done
+			rc.done = true
+			if rc.startedAt > 0 {
+				ev.Secs = (now - rc.startedAt).Seconds()
+			}
+		case wire.CauseError, wire.CauseUnknown:
+			ev.Kind = peer.Errored
+			rc.stored = true
+		default:
+			ev.Kind = peer.Back
+			rc.stored = true
+		}
+		b.tellEnd(rc, ev)
+		if rc.stored {
+			b.settle(rc)
+		}
+	}
+	if rc.forgettable() {
+		cmds = append(cmds, wire.Command{Op: wire.Forget, Task: t.Task, Attempt: t.Attempt})
+	}
+	return cmds
+}
+
+// forgettable says whether a worker may forget an exited attempt. After that, a
+// copy of its run order that comes late would start it again. A completed task
+// exits at once then, its result being kept, which harms nobody unless its job was
+// cancelled; any other stays listed until the machine has shown a higher token
+// than the order's, which it obeys no more.
+func (r *rec) forgettable() bool {
+	return r.stored && r.inflight == 0 && (!r.direct || r.done && r.stop == 0)
+}
+
+// lingering is how many attempts that may not be forgotten yet a block keeps
+// before a higher token is asked for.
+const lingering = 100
--- /dev/null
+++ b/internal/leader/grants.go
@@ -0,0 +1,334 @@
+package leader
+
+import (
+	"maps"
+	"slices"
+
+	"swiftledge/internal/block"
+	"swiftledge/internal/clock"
+	"swiftledge/internal/peer"
+	"swiftledge/internal/store"
+	"swiftledge/wire"
+)
+
+type blockState int
+
+const (
+	loose   blockState = iota // no holder under this epoch
+	writing                   // its key is being written
+	reading                   // its start records are being read
+	granted
+)
+
+// held is a task that is in a block's grant: it counts in full.
+type held struct {
+	team       string
+	cpus, gpus float64
+	zone       string
+	running    bool
+	machine    string
+	since      clock.Micros
+}
+
+type lblock struct {
+	id       int
+	state    blockState
+	token    uint64
+	stamp    uint64
+	holder   string
+	link     any
+	tasks    map[peer.Task]*held
+	offerSeq uint64
+	offered  bool         // an offer is not settled yet
+	known    bool         // its start records were read in this epoch
+	homeless clock.Micros // since when it has no holder in touch; 0: it has
+	orders   peer.BlockOrders
+	unstored []peer.Task // told done, not stored yet
+}
+
+// holders names who answers for each block, for redirects.
+func (l *Leader) holders() []string {
+	if !l.loaded {
+		return nil
+	}
+	out := make([]string, len(l.blocks))
+	for i, b := range l.blocks {
+		out[i] = b.holder
+	}
+	return out
+}
+
+// assign finds holders for blocks that have none, and evens out.
+func (l *Leader) assign(now clock.Micros) {
+	for _, n := range l.nodes {
+		if now-n.heard > 4*clock.Second {
+			delete(l.nodes, n.name)
+		}
+	}
+	// Give the other controllers a moment to link up, so that blocks stay where they are.
+	if len(l.nodes) < l.cfg.Facts.InitialSize && now-l.began < 1200*clock.Millisecond {
+		return
+	}
+	if len(l.nodes) == 0 {
+		return
+	}
+	names := slices.Sorted(maps.Keys(l.nodes))
+	// A holder that the state service alone refuses cannot record starts, one that hears
+	// no worker cannot keep their leases.
+	if able := slices.DeleteFunc(slices.Clone(names), func(n string) bool { return l.refusedByStore(n, now) || l.blind(n, now) }); len(able) > 0 {
+		names = able
+	}
+	count := map[string]int{}
+	var homeless []*lblock
+	for _, b := range l.blocks {
+		if b.state == writing || b.state == reading {
+			if l.nodes[b.holder] != nil {
+				count[b.holder]++
+			}
+			continue
+		}
+		n := l.nodes[b.holder]
+		if b.state == granted && n != nil && n.link == b.link && slices.Contains(names, n.name) {
+			count[b.holder]++
+			continue
+		}
+		homeless = append(homeless, b)
+	}
+	fair := (len(l.blocks) + len(names) - 1) / len(names)
+	var todo []*lblock
+	var rest []*lblock
+	for _, b := range homeless {
+		if b.homeless == 0 {
+			b.homeless = now
+		}
+		// Its last holder still knows the machines.
+		if slices.Contains(names, b.holder) && count[b.holder] < fair {
+			count[b.holder]++
+			todo = append(todo, b)
+		} else {
+			rest = append(rest, b)
+		}
+	}
+	least := func() string {
+		return slices.MinFunc(names, func(a, c string) int { return 2*count[a] + l.bias(a) - 2*count[c] - l.bias(c) })
+	}
+	most := l.mostBlocks()
+	for _, b := range rest {
+		to := least()
+		if count[to] >= most && now-b.homeless < l.patience() {
+			// All that is needed now is what may run there, as it counts.
+			if !b.known {
+				b.holder = ""
+				todo = append(todo, b)
+			}
+			continue
+		}
+		b.holder = to
+		count[to]++
+		todo = append(todo, b)
+	}
+	if len(todo) == 0 {
+		to := least()
+		n := l.nodes[to]
+		// One that heard no worker is tried with a single block first.
+		trying := n.blindAt > 0 && now-n.tried < blindFor/2
+		for _, b := range l.blocks {
+			if b.state == granted && count[b.holder] >= count[to]+2 && now-n.joined > 2*clock.Second && !trying {
+				b.holder, n.tried = to, now
+				todo = append(todo, b)
+				break
+			}
+		}
+	}
+	for len(todo) > 0 {
+		k := min(len(todo), l.cfg.Facts.State.TxnOps)
+		l.writeBlocks(todo[:k])
+		todo = todo[k:]
+	}
+}
+
+// reportCost is about what one worker's report takes of a core, all that follows from
+// it included.
+const reportCost = 0.001
+
+// mostBlocks is how many blocks a controller takes at once when others are out of
+// touch: it must be able to answer the workers of all. More would make it late with
+// every answer, so that the workers of its own blocks lose their leases, too.
+func (l *Leader) mostBlocks() int {
+	f := &l.cfg.Facts
+	size := max(f.InitialSize, 1)
+	share := (len(l.blocks)+size-1)/size + max(1, len(l.blocks)/6)
+	able := f.Quota.CPU / reportCost * f.Workers.ReportS / max(1, float64(len(l.machines))) * float64(len(l.blocks))
+	return max(share, int(min(able, float64(len(l.blocks)))))
+}
+
+// patience is how long blocks beyond that wait for a holder to come back: the last
+// answers of the former one hold its workers' leases for longer.
+func (l *Leader) patience() clock.Micros {
+	if l.cfg.Facts.InitialSize <= 1 {
+		return 0
+	}
+	return l.cfg.LeaseTime() * 9 / 10
+}
+
+func (l *Leader) refusedByStore(name string, now clock.Micros) bool {
+	n := l.nodes[name]
+	return n.badSince > 0 && now-n.badSince > 3*clock.Second
+}
+
+// blindFor is how long a controller that heard no worker is left without blocks.
+const blindFor = 30 * clock.Second
+
+func (l *Leader) blind(name string, now clock.Micros) bool {
+	n := l.nodes[name]
+	return n.blindAt > 0 && now-n.blindAt < blindFor
+}
+
+// bias lets the leader have fewer blocks, as it has more to do.
+func (l *Leader) bias(name string) int {
+	if name == l.self {
+		return 1
+	}
+	return 0
+}
+
+type blocksTag struct{ tokens map[int]uint64 }
+
+func (l *Leader) writeBlocks(bs []*lblock) {
+	tag := blocksTag{map[int]uint64{}}
+	var guards []wire.Guard
+	var writes []wire.Write
+	for _, b := range bs {
+		l.tokens++
+		if l.tokens >= 1<<12 {
+			l.emit(Resign{"all tokens of this epoch are used"})
+			return
+		}
+		b.state = writing
+		b.token = l.epoch<<12 | l.tokens
+		var run uint64
+		b.link = nil
+		if n := l.nodes[b.holder]; n != nil {
+			b.link, run = n.link, n.run
+		}
+		tag.tokens[b.id] = b.token
+		guards = append(guards, wire.Guard{Key: block.Key(b.id), Version: b.stamp})
+		writes = append(writes, put(block.Key(b.id), BlockRecord{Token: b.token, Holder: b.holder, Run: run}))
+	}
+	l.commit(store.Urgent, tag, guards, writes)
+}
+
+func (l *Leader) blocksWritten(now clock.Micros, tag blocksTag, o store.Outcome) {
+	for id, token := range tag.tokens {
+		b := l.blocks[id]
+		if b.state != writing || b.token != token {
+			continue
+		}
+		if o.OK {
+			b.stamp = o.Revision
+			b.state = reading
+			l.emit(LoadRecords{l.epoch, id, token})
+			continue
+		}
+		// Only a try of our own that got no answer can have changed the key.
+		l.emit(ReadKey{l.epoch, block.Key(id), tag})
+	}
+}
+
+func (l *Leader) records(now clock.Micros, m Records) {
+	b := l.blocks[m.Block]
+	if b.state != reading || b.token != m.Token {
+		return
+	}
+	old := b.tasks
+	b.tasks = map[peer.Task]*held{}
+	b.unstored = nil
+	b.offered = false
+	b.orders = peer.BlockOrders{Block: b.id, Token: b.token}
+	for _, h := range old {
+		l.charge(h, -1)
+	}
+	for _, pg := range m.Pages {
+		for i := range pg.Groups {
+			g := &pg.Groups[i]
+			records, err := pg.Records(g)
+			if err != nil {
+				l.info("start records", "error", err) // not reached: pages are checked when read
+			}
+			for _, r := range records {
+				t := peer.Task{Job: g.Job, Index: r.Index}
+				if b.tasks[t] != nil {
+					continue
+				}
+				h := &held{team: g.Team, cpus: g.CPUs, gpus: g.GPUs, machine: r.Machine, since: now}
+				if mc := l.machines[r.Machine]; mc != nil {
+					h.zone = mc.opt.Zone
+				}
+				b.tasks[t] = h
+				l.charge(h, 1)
+				j := l.jobs[t.Job]
+				if old[t] == nil && j != nil {
+					j.takeOut(t.Index)
+				}
+				if j == nil || j.cancelled {
+					b.orders.Stop = append(b.orders.Stop, peer.StopTask{Task: t})
+				}
+			}
+		}
+	}
+	// What has no record cannot have been started: the record's guard would fail now.
+	for t := range old {
+		if b.tasks[t] == nil {
+			if j := l.jobs[t.Job]; j != nil {
+				j.giveBack(t.Index)
+			}
+		}
+	}
+	b.known = true
+	if b.link == nil {
+		b.state = loose // it waits for a holder
+		return
+	}
+	b.state, b.homeless = granted, 0
+	var names []string
+	for name, mc := range l.machines {
+		if mc.block == b {
+			names = append(names, name)
+			if mc.drain {
+				b.orders.Drain = append(b.orders.Drain, name)
+			}
+		}
+	}
+	slices.Sort(names)
+	var roster []peer.RosterMachine
+	for _, name := range names {
+		mc := l.machines[name]
+		mc.state.Fit, mc.out = false, false
+		roster = append(roster, peer.RosterMachine{Name: name, Address: mc.address})
+	}
+	// A controller that linked up before the epoch was loaded knows no types yet.
+	l.emit(Tell{b.link, peer.Down{Epoch: l.epoch, Holders: l.holders(), Types: l.typeList,
+		Grants: []peer.Grant{{Block: b.id, Token: b.token, Stamp: b.stamp, Pages: m.Pages, Machines: roster}}}})
+	for _, n := range l.nodes {
+		if n.link != b.link {
+			l.emit(Tell{n.link, peer.Down{Epoch: l.epoch, Holders: l.holders(), Types: l.typeList}})
+		}
+	}
+	l.emit(Log{Debug: true, Text: "block granted", Args: []any{"block", b.id, "holder", b.holder, "token", b.token, "tasks", len(b.tasks)}})
+}
+
+func (l *Leader) charge(h *held, sign float64) {
+	u := l.use(h.team)
+	u.cpus += sign * h.cpus
+	u.gpus += sign * h.gpus
+}
+
+// release takes a task out of a block's grant.
+func (l *Leader) release(b *lblock, t peer.Task) *held {
+	h := b.tasks[t]
+	if h != nil {
+		delete(b.tasks, t)
+		l.charge(h, -1)
+	}
+	return h
+}
