--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -134,7 +134,7 @@
 	t.Placement.Small = 0.5
 	t.Placement.CycleS = 2
 	t.Queues.StartWithinS = 90
-	t.Queues.LeastShare = 0.25
+	t.Queues.LeastShare = 0.15
 	t.Grants.Blocks = 6
 	t.Grants.TimeS = 30
 	t.Election.TTLS = 3
