--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -95,6 +95,7 @@
 	tuning  placement.Params
 	epoch   uint64
 	linked  bool
+	slow    bool // the link's messages take seconds
 	blocks  map[int]*blk
 	holders []string
 	types   map[string]wire.MachineType
@@ -121,7 +122,7 @@
 	switch m := msg.(type) {
 	case Linked:
 		if m.Epoch >= h.epoch {
-			h.epoch, h.linked = m.Epoch, true
+			h.epoch, h.linked, h.slow = m.Epoch, true, m.Slow
 			h.sentAt = map[uint64]clock.Micros{}
 			h.sendRenew(now)
 		}
@@ -518,7 +519,11 @@
 	if !h.linked {
 		return
 	}
-	due := now-h.flushed >= flushEvery
+	every := flushEvery
+	if h.slow {
+		every = clock.Second
+	}
+	due := now-h.flushed >= every
 	var ups []peer.BlockUpdate
 	for _, id := range slices.Sorted(maps.Keys(h.blocks)) {
 		b := h.blocks[id]
--- a/internal/block/messages.go
+++ b/internal/block/messages.go
@@ -36,8 +36,12 @@
 
 // Messages to a Holder.
 type (
-	// Linked says that a link to the leader of an epoch is up.
-	Linked struct{ Epoch uint64 }
+	// Linked says that a link to the leader of an epoch is up; Slow, that its messages
+	// take seconds.
+	Linked struct {
+		Epoch uint64
+		Slow  bool
+	}
 	// Unlinked says that it ended.
 	Unlinked struct{ Epoch uint64 }
 	// Report is a worker's report that waits for an answer under Tag.
--- a/internal/leader/grants.go
+++ b/internal/leader/grants.go
@@ -61,7 +61,7 @@
 // assign finds holders for blocks that have none, and evens out.
 func (l *Leader) assign(now clock.Micros) {
 	for _, n := range l.nodes {
-		if now-n.heard > 4*clock.Second {
+		if quiet := now - n.heard; quiet > 12*clock.Second || quiet > 4*clock.Second && !n.slow {
 			delete(l.nodes, n.name)
 		}
 	}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -20,6 +20,7 @@
 	name     string
 	run      uint64
 	link     any
+	slow     bool // messages take seconds
 	joined   clock.Micros
 	heard    clock.Micros
 	blindAt  clock.Micros // when it last heard none of its workers
@@ -174,7 +175,7 @@
 			l.load(now, m)
 		}
 	case Joined:
-		l.nodes[m.Node] = &node{name: m.Node, run: m.Run, link: m.Link, joined: now, heard: now}
+		l.nodes[m.Node] = &node{name: m.Node, run: m.Run, link: m.Link, slow: m.Slow, joined: now, heard: now}
 		// What the node was told over an older link may be lost: its blocks are granted anew.
 		for _, b := range l.blocks {
 			if b.holder == m.Node && b.link != m.Link && b.state != writing {
--- a/internal/leader/messages.go
+++ b/internal/leader/messages.go
@@ -90,6 +90,7 @@
 		Node string
 		Run  uint64
 		Link any
+		Slow bool // through the state service: messages take seconds
 	}
 	// Left is its end.
 	Left struct {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,6 +60,7 @@
 	cloud   *cloud.Client
 	workers *fasthttp.Client
 	desk    *api.Desk
+	office  *peer.Office
 
 	elector, leader, holder mailbox
 	cloudWork               chan func()
@@ -85,6 +86,7 @@
 			return c, nil
 		}}
 	n.desk = api.NewDesk(cfg, n.clock.Now)
+	n.office = peer.NewOffice(cfg.Name, n.store, cfg.Facts.State.ValueKB, peer.LetterGap)
 	return n
 }
 
@@ -123,6 +125,7 @@
 	}
 	go n.watchLeader(ctx)
 	go n.acceptPeers(back)
+	go n.office.Run(ctx, func(c net.Conn) { go n.acceptPeer(c, true) })
 	go n.desk.Run(ctx)
 	svc := api.New(n.cfg, n.store, store.Pause, n.desk, n.health.ok, n.report, clock.Wall, n.log)
 	n.log.Info("serving", "node", n.cfg.Name, "on", n.cfg.ServeOn)
@@ -290,28 +293,71 @@
 		n.log.Error("leader is not among the known controllers", "leader", name)
 		return
 	}
-	for ctx.Err() == nil && n.desk.Epoch() == epoch {
+	for fails := 0; ctx.Err() == nil && n.desk.Epoch() == epoch; {
 		l, dec, err := peer.Dial(addr, peer.Hello{Node: n.cfg.Name, Run: n.run, Epoch: epoch})
-		if err == nil || errors.Is(err, peer.ErrNotLeading) {
+		switch {
+		case err == nil:
+			fails = 0
+			n.desk.Post(api.Met{})
+			n.linked(epoch, l, func(f func(*peer.Down)) { l.Follow(dec, f) })
+			continue
+		case errors.Is(err, peer.ErrNotLeading):
 			n.desk.Post(api.Met{})
+		default:
+			fails++
 		}
-		if err != nil {
-			n.log.Debug("cannot reach the leader", "error", err)
-			time.Sleep(200*time.Millisecond + rand.N(100*time.Millisecond))
+		n.log.Debug("cannot reach the leader", "error", err)
+		if fails >= usual {
+			fails = 0
+			n.letters(ctx, epoch, name, addr)
 			continue
 		}
-		n.holder <- holderUp{epoch, l}
-		l.Follow(dec, func(d *peer.Down) {
-			n.desk.Post(api.Met{})
-			n.desk.Post(d)
-			n.holder <- d
-		})
-		n.holder <- holderDown{epoch, l}
+		time.Sleep(200*time.Millisecond + rand.N(100*time.Millisecond))
+	}
+}
+
+// usual is how often in a row the leader may be out of reach before letters are tried.
+const usual = 4
+
+// letters speaks to the leader through the state service until it can be reached again.
+func (n *Node) letters(ctx context.Context, epoch uint64, name, addr string) {
+	l, follow, err := peer.DialRelayed(ctx, n.office, name, peer.Hello{Node: n.cfg.Name, Run: n.run, Epoch: epoch})
+	if err != nil {
+		n.log.Debug("no answer to letters", "leader", name, "error", err)
+		return
 	}
+	n.log.Info("linked through the state service", "leader", name)
+	over := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-over:
+				return
+			case <-time.After(3 * time.Second):
+			}
+			if c, err := netio.Dial(addr, time.Second); err == nil {
+				c.Close()
+				l.Close()
+				return
+			}
+		}
+	}()
+	n.linked(epoch, l, follow)
+	close(over)
+}
+
+// linked serves a link to the leader until it ends.
+func (n *Node) linked(epoch uint64, l *peer.Link, follow func(func(*peer.Down))) {
+	n.holder <- holderUp{epoch, l}
+	follow(func(d *peer.Down) {
+		n.desk.Post(api.Met{})
+		n.desk.Post(d)
+		n.holder <- d
+	})
+	n.holder <- holderDown{epoch, l}
 }
 
 func (n *Node) acceptPeers(l net.Listener) {
-	me := peer.Hello{Node: n.cfg.Name, Run: n.run}
 	for {
 		c, err := l.Accept()
 		if err != nil {
@@ -319,23 +365,27 @@
 			time.Sleep(100 * time.Millisecond)
 			continue
 		}
-		go peer.Accept(c, me, func(h peer.Hello) bool {
-			n.desk.Post(api.Met{})
-			q := askEpoch{make(chan uint64, 1)}
-			n.elector <- q
-			epoch := <-q.answer
-			return epoch > 0 && epoch == h.Epoch
-		}, func(l *peer.Link) {
-			n.leader <- leader.Joined{Node: l.Peer.Node, Run: l.Peer.Run, Link: l}
-		}, func(l *peer.Link, u *peer.Up) {
-			n.desk.Post(api.Met{})
-			n.leader <- leader.Said{Node: l.Peer.Node, Link: l, Up: u}
-		}, func(l *peer.Link) {
-			n.leader <- leader.Left{Node: l.Peer.Node, Link: l}
-		})
+		go n.acceptPeer(c, false)
 	}
 }
 
+func (n *Node) acceptPeer(c net.Conn, slow bool) {
+	peer.Accept(c, slow, peer.Hello{Node: n.cfg.Name, Run: n.run}, func(h peer.Hello) bool {
+		n.desk.Post(api.Met{})
+		q := askEpoch{make(chan uint64, 1)}
+		n.elector <- q
+		epoch := <-q.answer
+		return epoch > 0 && epoch == h.Epoch
+	}, func(l *peer.Link) {
+		n.leader <- leader.Joined{Node: l.Peer.Node, Run: l.Peer.Run, Link: l, Slow: slow}
+	}, func(l *peer.Link, u *peer.Up) {
+		n.desk.Post(api.Met{})
+		n.leader <- leader.Said{Node: l.Peer.Node, Link: l, Up: u}
+	}, func(l *peer.Link) {
+		n.leader <- leader.Left{Node: l.Peer.Node, Link: l}
+	})
+}
+
 func (n *Node) runHolder(ctx context.Context) {
 	t := n.cfg.Tuning.Placement
 	h := block.New(block.Params{Node: n.cfg.Name, GrantTime: n.cfg.GrantTime(), Lease: n.cfg.LeaseTime(),
@@ -350,7 +400,11 @@
 				l.Close()
 			}
 			link = m.link
-			msg = block.Linked{Epoch: m.epoch}
+			slow := false
+			if l, ok := m.link.(*peer.Link); ok {
+				slow = l.Slow()
+			}
+			msg = block.Linked{Epoch: m.epoch, Slow: slow}
 		case holderDown:
 			if link != m.link {
 				continue
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -16,18 +16,32 @@
 	writeTimeout = 2 * time.Second
 	// A link on which nothing has come for this long is dead: both sides speak every second.
 	readTimeout = 4 * time.Second
+	// Through the state service a message takes seconds.
+	relayTimeout = 12 * time.Second
 )
 
+// patience is how long to wait for what a direct connection brings within d.
+func patience(slow bool, d time.Duration) time.Duration {
+	if slow {
+		return relayTimeout
+	}
+	return d
+}
+
 // Link is one connection between a follower and the leader.
 type Link struct {
 	Peer Hello
 	conn net.Conn
 	out  chan any
 	done chan struct{}
+	slow bool // through the state service
 }
 
-func newLink(c net.Conn, peer Hello) *Link {
-	l := &Link{Peer: peer, conn: c, out: make(chan any, 256), done: make(chan struct{})}
+// Slow says whether messages take seconds.
+func (l *Link) Slow() bool { return l.slow }
+
+func newLink(c net.Conn, peer Hello, slow bool) *Link {
+	l := &Link{Peer: peer, conn: c, slow: slow, out: make(chan any, 256), done: make(chan struct{})}
 	go l.write()
 	return l
 }
@@ -70,7 +84,7 @@
 	defer close(l.done)
 	defer l.conn.Close()
 	for {
-		l.conn.SetReadDeadline(time.Now().Add(readTimeout))
+		l.conn.SetReadDeadline(time.Now().Add(patience(l.slow, readTimeout)))
 		m := new(T)
 		if dec.Decode(m) != nil {
 			return
@@ -88,7 +102,12 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("peer: %w", err)
 	}
-	c.SetDeadline(time.Now().Add(writeTimeout))
+	return greet(c, addr, h, false)
+}
+
+// greet exchanges Hellos on a new connection to the leader.
+func greet(c net.Conn, addr string, h Hello, slow bool) (*Link, *msgpack.Decoder, error) {
+	c.SetDeadline(time.Now().Add(patience(slow, writeTimeout)))
 	var back Hello
 	dec := msgpack.NewDecoder(bufio.NewReaderSize(c, 8192))
 	raw, err := msgpack.Marshal(h)
@@ -106,15 +125,15 @@
 		return nil, nil, fmt.Errorf("peer: %w", err)
 	}
 	c.SetDeadline(time.Time{})
-	return newLink(c, back), dec, nil
+	return newLink(c, back, slow), dec, nil
 }
 
 // Follow reads what the leader says until the link ends.
 func (l *Link) Follow(dec *msgpack.Decoder, f func(*Down)) { read(l, dec, f) }
 
 // Accept answers a follower's Hello if agree allows it, then reads until the link ends.
-func Accept(c net.Conn, me Hello, agree func(Hello) bool, joined func(*Link), f func(*Link, *Up), left func(*Link)) {
-	c.SetDeadline(time.Now().Add(writeTimeout))
+func Accept(c net.Conn, slow bool, me Hello, agree func(Hello) bool, joined func(*Link), f func(*Link, *Up), left func(*Link)) {
+	c.SetDeadline(time.Now().Add(patience(slow, writeTimeout)))
 	dec := msgpack.NewDecoder(bufio.NewReaderSize(c, 8192))
 	var h Hello
 	if dec.Decode(&h) != nil {
@@ -135,7 +154,7 @@
 		return
 	}
 	c.SetDeadline(time.Time{})
-	l := newLink(c, h)
+	l := newLink(c, h, slow)
 	joined(l)
 	read(l, dec, func(u *Up) { f(l, u) })
 	left(l)
