Clean-up after a re-read: one place each for what was written twice

One holder made from the config for node and scenario runner, one bound for a value's size, one key for an option, one shape of task for queue and plan, unanswered rentals counted once a round, a link that keeps its decoder, one message asking for a new grant. The cloud's limit by golang.org/x/time/rate: the ticker it replaces woke every controller up to five times a second. Gone: parseTask, two fields nobody read, held.since, a check that could not fail. No decision changes; the scenario runner's pages are now as large as the node's.

--- a/internal/block/dialogue.go
+++ b/internal/block/dialogue.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"strconv"
-	"strings"
 
 	"swiftledge/internal/clock"
 	"swiftledge/internal/peer"
@@ -93,12 +92,6 @@
 // TaskName is a task as workers write it.
 func TaskName(t peer.Task) string { return t.Job + "/" + strconv.Itoa(t.Index) }
 
-func parseTask(s string) (peer.Task, bool) {
-	job, idx, ok := strings.Cut(s, "/")
-	n, err := strconv.Atoi(idx)
-	return peer.Task{Job: job, Index: n}, ok && err == nil
-}
-
 // reachable says whether a direct command can be sent.
 func (m *machine) reachable() bool { return m.address != "" && m.session > 0 }
 
--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"swiftledge/internal/clock"
+	"swiftledge/internal/config"
 	"swiftledge/internal/peer"
 	"swiftledge/internal/placement"
 	"swiftledge/wire"
@@ -116,6 +117,14 @@
 		book: placement.NewBook(), sentAt: map[uint64]clock.Micros{}, storeOK: storeOK}
 }
 
+// FromConfig makes a controller's holder.
+func FromConfig(cfg *config.Config, storeOK func() bool) *Holder {
+	f, t := &cfg.Facts, cfg.Tuning.Placement
+	return New(Params{Node: cfg.Name, GrantTime: cfg.GrantTime(), Lease: cfg.LeaseTime(), ReportTime: clock.FromSeconds(f.Workers.ReportS),
+		ValueBytes: cfg.ValueBytes(), TxnOps: f.State.TxnOps},
+		placement.Params{K: t.K, Eta: t.Eta, Epsilon: t.Epsilon, Small: t.Small}, storeOK)
+}
+
 // Step takes one message at a time.
 func (h *Holder) Step(now clock.Micros, msg any) []any {
 	h.fx = nil
@@ -438,8 +447,14 @@
 	return pm
 }
 
-func (h *Holder) void(b *blk) {
+// askAnew tells the leader that the block needs a new grant.
+func (h *Holder) askAnew(b *blk) {
 	h.emit(Send{peer.Up{Epoch: h.epoch, Updates: []peer.BlockUpdate{{Block: b.id, Token: b.token, Lost: true}}}})
+}
+
+// void gives up a block whose machines or key show a newer token.
+func (h *Holder) void(b *blk) {
+	h.askAnew(b)
 	delete(h.blocks, b.id)
 }
 
@@ -505,7 +520,7 @@
 	}
 	if kept > lingering && !b.raise && h.linked {
 		b.raise = true
-		h.emit(Send{peer.Up{Epoch: h.epoch, Updates: []peer.BlockUpdate{{Block: b.id, Token: b.token, Lost: true}}}})
+		h.askAnew(b)
 	}
 	h.tidy(now, b)
 }
@@ -547,7 +562,7 @@
 func (h *Holder) state(m *machine) peer.MachineState {
 	pm := h.room(m)
 	s := peer.MachineState{Name: m.name, Type: m.typ, Zone: m.zone, Address: m.address, Spot: m.spot, Fit: m.wasFit,
-		Draining: m.drain, Lost: m.lost, Silent: m.silent, Notice: m.notice, Gone: m.gone, Shown: m.shown, CPUs: pm.CPUs, GPUs: pm.GPUs, Memory: pm.Memory}
+		Silent: m.silent, Notice: m.notice, Gone: m.gone, Shown: m.shown, CPUs: pm.CPUs, GPUs: pm.GPUs, Memory: pm.Memory}
 	for _, r := range m.recs {
 		if r.state != exited {
 			s.Tasks++
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -2,6 +2,7 @@
 package cloud
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -10,6 +11,7 @@
 
 	"github.com/goccy/go-json"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
 
 	"swiftledge/internal/netio"
 	"swiftledge/wire"
@@ -18,41 +20,28 @@
 // ErrNoCapacity says that none is available of this type, zone and kind.
 var ErrNoCapacity = errors.New("no capacity")
 
-// Client speaks to the cloud. Only the leader calls it; a bucket of tokens keeps it
-// within the limit, which allows bursts worth two seconds.
+// Client speaks to the cloud. Only the leader calls it, within the limit, which
+// allows bursts worth two seconds.
 type Client struct {
-	http   *fasthttp.HostClient
-	tokens chan struct{}
+	http  *fasthttp.HostClient
+	limit *rate.Limiter
 }
 
 // New makes a client that keeps to rps calls a second.
 func New(addr string, rps float64) *Client {
-	c := &Client{
+	return &Client{
 		http: &fasthttp.HostClient{Addr: addr, MaxConns: 4, MaxIdemponentCallAttempts: 1,
 			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 			Dial:       func(a string) (net.Conn, error) { return netio.Dial(a, 2*time.Second) }},
 		// A part of the burst is left for a leader before us.
-		tokens: make(chan struct{}, max(1, int(1.5*rps))),
-	}
-	go c.refill(time.Duration(float64(time.Second) / (0.95 * rps)))
-	return c
-}
-
-// refill lets one more call go every now and then, from the first tick on.
-func (c *Client) refill(every time.Duration) {
-	for len(c.tokens) < cap(c.tokens) {
-		c.tokens <- struct{}{}
-	}
-	for range time.Tick(every) {
-		select {
-		case c.tokens <- struct{}{}:
-		default:
-		}
+		limit: rate.NewLimiter(rate.Limit(0.95*rps), max(1, int(1.5*rps))),
 	}
 }
 
 func (c *Client) call(method, uri string, body, out any) error {
-	<-c.tokens
+	if err := c.limit.Wait(context.Background()); err != nil {
+		return fmt.Errorf("cloud %s: %w", uri, err)
+	}
 	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(res)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -164,6 +164,9 @@
 	return clock.FromSeconds(min(c.Tuning.Grants.TimeS, most))
 }
 
+// ValueBytes is how much we put into one value of the state service at most.
+func (c *Config) ValueBytes() int { return int(c.Facts.State.ValueKB * 1024 * 0.9) }
+
 // LeaseTime is the workers' lease.
 func (c *Config) LeaseTime() clock.Micros { return clock.FromSeconds(c.Facts.Workers.LeaseS) }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -5,7 +5,6 @@
 	"cmp"
 	"math"
 	"slices"
-	"strconv"
 
 	"swiftledge/wire"
 )
@@ -17,6 +16,15 @@
 	Spot bool
 }
 
+// Key names the option.
+func (o Option) Key() OptionKey { return OptionKey{o.Type.Name, o.Zone, o.Spot} }
+
+// OptionKey is what tells one option from another.
+type OptionKey struct {
+	Type, Zone string
+	Spot       bool
+}
+
 // Price per hour of the option.
 func (o Option) Price() float64 {
 	if o.Spot {
@@ -144,14 +152,13 @@
 	var d Decision
 	var kinds []Option
 	kind := make([]int, len(supply))
-	byKey := map[[3]string]int{}
+	byKey := map[OptionKey]int{}
 	for i := range supply {
 		o := supply[i].Option
-		key := [3]string{o.Type.Name, o.Zone, strconv.FormatBool(o.Spot)}
-		k, ok := byKey[key]
+		k, ok := byKey[o.Key()]
 		if !ok {
 			k = len(kinds)
-			byKey[key] = k
+			byKey[o.Key()] = k
 			kinds = append(kinds, o)
 		}
 		kind[i] = k
@@ -264,7 +271,7 @@
 
 func ordered(orders []Order, o Option) (n int) {
 	for _, x := range orders {
-		if x.same(o) {
+		if x.Key() == o.Key() {
 			n += x.Count
 		}
 	}
--- a/internal/leader/grants.go
+++ b/internal/leader/grants.go
@@ -27,7 +27,6 @@
 	zone       string
 	running    bool
 	machine    string
-	since      clock.Micros
 }
 
 type lblock struct {
@@ -260,7 +259,7 @@
 				if b.tasks[t] != nil {
 					continue
 				}
-				h := &held{team: g.Team, cpus: g.CPUs, gpus: g.GPUs, machine: r.Machine, since: now}
+				h := &held{team: g.Team, cpus: g.CPUs, gpus: g.GPUs, machine: r.Machine}
 				if mc := l.machines[r.Machine]; mc != nil {
 					h.zone = mc.opt.Zone
 				}
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"math"
 	"math/bits"
 	"slices"
@@ -20,7 +21,15 @@
 	shelf       *shelf // where it is stored
 }
 
+// shape is what a job's tasks take and where they may be.
+type shape struct {
+	cpus, gpus, mem float64
+	types, zone     string
+	spot            bool
+}
+
 type job struct {
+	shape     shape
 	rec       JobRecord
 	stamp     uint64
 	chunks    []chunk
@@ -40,7 +49,8 @@
 
 func (l *Leader) addJob(r JobRecord, stamp uint64) *job {
 	n := r.Spec.Tasks
-	j := &job{rec: r, stamp: stamp, out: map[int]int{}, errAt: map[string]bool{}, want: make([]uint64, (n+63)/64)}
+	s := &r.Spec
+	j := &job{shape: shape{s.CPUs, s.GPUs, s.MemoryGB, fmt.Sprint(s.Types), s.Zone, s.Spot}, rec: r, stamp: stamp, out: map[int]int{}, errAt: map[string]bool{}, want: make([]uint64, (n+63)/64)}
 	for left := n; left > 0; left -= ChunkTasks {
 		n := (min(left, ChunkTasks) + 7) / 8
 		j.chunks = append(j.chunks, chunk{done: make([]byte, n), saved: make([]byte, n)})
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -85,7 +85,7 @@
 	gone                                                     map[string]bool
 	types                                                    map[string]wire.MachineType
 	typeList                                                 []wire.MachineType
-	refused                                                  map[string]refusal // by option
+	refused                                                  map[fleet.OptionKey]refusal
 	classes                                                  map[string]*classStat
 	rentSeq                                                  int
 	shelves                                                  []*shelf
@@ -137,7 +137,7 @@
 func (l *Leader) reset() {
 	*l = Leader{cfg: l.cfg, within: l.within, teams: l.teams, self: l.self, storeOK: l.storeOK, nodes: map[string]*node{}, jobs: map[string]*job{}, usage: map[string]*use{},
 		machines: map[string]*machine{}, rentals: map[string]*rental{}, gone: map[string]bool{}, types: map[string]wire.MachineType{},
-		refused: map[string]refusal{}, classes: map[string]*classStat{}, found: map[string]wire.Machine{}, counts: map[string]peer.TaskCount{}}
+		refused: map[fleet.OptionKey]refusal{}, classes: map[string]*classStat{}, found: map[string]wire.Machine{}, counts: map[string]peer.TaskCount{}}
 }
 
 // Step takes one message at a time.
@@ -470,14 +470,13 @@
 	case peer.Started:
 		if h := b.tasks[e.Task]; h != nil {
 			h.machine = e.Machine
-			h.since = now
 			if m := l.machines[e.Machine]; m != nil {
 				h.zone = m.opt.Zone
 			}
 		}
 	case peer.Running:
 		if h := b.tasks[e.Task]; h != nil && !h.running {
-			h.running, h.since = true, now
+			h.running = true
 			if j != nil {
 				j.running++
 			}
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -136,7 +136,13 @@
 	lag := clock.FromSeconds(l.cfg.Facts.Cloud.ListLagS)
 	// Lists give way to rentals, which share the cloud's few calls with them.
 	every := max(lag/2, 2*clock.Second)
-	if slices.ContainsFunc(slices.Collect(maps.Values(l.rentals)), func(rt *rental) bool { return !rt.rec.Asked }) {
+	pending := 0
+	for _, rt := range l.rentals {
+		if !rt.rec.Asked {
+			pending++
+		}
+	}
+	if pending > 0 {
 		every *= 2
 	}
 	if !l.listing && now-l.lastList > every {
@@ -157,12 +163,13 @@
 	if len(l.types) == 0 {
 		return
 	}
-	l.adopt(now)
-	pending := 0
+	// While an answer is out, machines that nobody knows may be its rental's.
+	if pending == 0 {
+		l.adopt(now)
+	}
 	for _, key := range slices.Sorted(maps.Keys(l.rentals)) {
 		rt := l.rentals[key]
 		if !rt.rec.Asked {
-			pending++
 			if rt.busy && rt.asked > 0 && now-rt.asked > 8*clock.Second {
 				rt.asked = now
 				l.emit(Rent{l.epoch, rt.rec.Rental})
@@ -191,11 +198,6 @@
 	if len(l.found) == 0 {
 		return
 	}
-	for _, rt := range l.rentals {
-		if !rt.rec.Asked {
-			return // they may be this rental's
-		}
-	}
 	byKind := map[wire.Rental][]string{}
 	for _, name := range slices.Sorted(maps.Keys(l.found)) {
 		w := l.found[name]
@@ -264,8 +266,6 @@
 	}
 }
 
-func optionKey(o fleet.Option) string { return fmt.Sprintf("%s/%s/%t", o.Type.Name, o.Zone, o.Spot) }
-
 func (l *Leader) rented(now clock.Micros, m Rented) {
 	rt := l.rentals[FleetPrefix+m.Request]
 	if rt == nil || rt.rec.Asked {
@@ -294,7 +294,7 @@
 // answered notes whether an option had all that was asked for. One that had not is
 // left alone for a while, longer each time: every try costs puts and cloud calls.
 func (l *Leader) answered(now clock.Micros, rt *rental, short bool) {
-	k := optionKey(l.option(rt.rec.Rental))
+	k := l.option(rt.rec.Rental).Key()
 	if !short {
 		delete(l.refused, k)
 		return
@@ -376,11 +376,6 @@
 
 // plan rents what the queues need and names idle machines to return.
 func (l *Leader) plan(now clock.Micros) []string {
-	type shape struct {
-		cpus, gpus, mem float64
-		types, zone     string
-		spot            bool
-	}
 	byShape := map[shape]*fleet.Need{}
 	var needs []*fleet.Need
 	room := map[string]float64{}
@@ -399,11 +394,10 @@
 			n = min(n, int(room[s.Team]/s.CPUs+1e-9))
 		}
 		room[s.Team] -= float64(n) * s.CPUs
-		k := shape{s.CPUs, s.GPUs, s.MemoryGB, fmt.Sprint(s.Types), s.Zone, s.Spot}
-		need := byShape[k]
+		need := byShape[j.shape]
 		if need == nil {
 			need = &fleet.Need{CPUs: s.CPUs, GPUs: s.GPUs, Memory: s.MemoryGB, Types: s.Types, Zone: s.Zone, Spot: s.Spot}
-			byShape[k] = need
+			byShape[j.shape] = need
 			needs = append(needs, need)
 		}
 		need.Tasks += n
@@ -446,7 +440,7 @@
 	}
 	tune := l.cfg.Tuning.Fleet
 	d := fleet.Plan(flat, supply, opts, fleet.Params{SpotClearS: tune.SpotClearS, OrdinaryClearS: tune.OrdinaryClearS, Reserve: tune.Reserve},
-		func(o fleet.Option) bool { return now >= l.refused[optionKey(o)].until })
+		func(o fleet.Option) bool { return now >= l.refused[o.Key()].until })
 	l.rest(d)
 	l.stirred = true // what is shunned no more has room again
 	for _, o := range d.Rent {
--- a/internal/leader/progress.go
+++ b/internal/leader/progress.go
@@ -35,9 +35,8 @@
 // place finds a shelf with room for a chunk.
 func (l *Leader) place(j *job, c int) *shelf {
 	need := chunkBytes(len(j.chunks[c].done))
-	most := int(l.cfg.Facts.State.ValueKB * 1024 * 0.9)
 	for _, s := range l.shelves {
-		if s.size+need <= most {
+		if s.size+need <= l.cfg.ValueBytes() {
 			s.put(j, c)
 			return s
 		}
--- a/internal/leader/schedule.go
+++ b/internal/leader/schedule.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"maps"
 	"math"
 	"slices"
@@ -238,13 +237,10 @@
 		if i < 0 {
 			break
 		}
-		if j.isDone(i) || j.out[i] > 0 {
-			continue
-		}
 		m.cpus -= s.CPUs
 		m.gpus -= s.GPUs
 		m.mem -= s.MemoryGB
-		h := &held{team: s.Team, cpus: s.CPUs, gpus: s.GPUs, zone: zone, since: now}
+		h := &held{team: s.Team, cpus: s.CPUs, gpus: s.GPUs, zone: zone}
 		b.tasks[peer.Task{Job: s.Ref, Index: i}] = h
 		l.charge(h, 1)
 		j.out[i]++
@@ -266,11 +262,19 @@
 type freeRoom struct {
 	ms      []*machine // the cheapest first, the fullest first among these; those at rest last
 	byImage map[string][]*machine
-	passed  map[string]int
+	passed  map[roomKey]int
+}
+
+// roomKey names a list of machines as one shape of task sees it: all of them, or
+// those with an image.
+type roomKey struct {
+	shape shape
+	all   bool
+	image string
 }
 
 func (l *Leader) freeRoom() *freeRoom {
-	r := &freeRoom{byImage: map[string][]*machine{}, passed: map[string]int{}}
+	r := &freeRoom{byImage: map[string][]*machine{}, passed: map[roomKey]int{}}
 	for _, m := range l.machines {
 		if m.state.Fit && !m.drain && !m.shun && !m.deleting && m.state.CPUs > 0 && m.block.state == granted && !m.block.offered {
 			m.cpus, m.gpus, m.mem = m.state.CPUs, m.state.GPUs, m.state.Memory
@@ -314,15 +318,15 @@
 }
 
 // first finds the first machine of a list that takes a task of the job.
-func (r *freeRoom) first(list []*machine, shape string, j *job) *machine {
+func (r *freeRoom) first(list []*machine, k roomKey, j *job) *machine {
 	s := &j.rec.Spec
-	for i := r.passed[shape]; i < len(list); i++ {
+	for i := r.passed[k]; i < len(list); i++ {
 		if m := list[i]; m.holds(s) && m.allowed(s) {
 			if len(j.errAt) == 0 || !j.errAt[m.name] {
 				return m
 			}
-		} else if i == r.passed[shape] {
-			r.passed[shape] = i + 1
+		} else if i == r.passed[k] {
+			r.passed[k] = i + 1
 		}
 	}
 	return nil
@@ -335,11 +339,10 @@
 	if s.OneZone || s.Spread {
 		return l.roomInZone(j, room)
 	}
-	shape := fmt.Sprint(s.CPUs, s.GPUs, s.MemoryGB, s.Types, s.Zone, s.Spot)
-	if m := room.first(room.byImage[s.Image], s.Image+" "+shape, j); m != nil {
+	if m := room.first(room.byImage[s.Image], roomKey{shape: j.shape, image: s.Image}, j); m != nil {
 		return m, ""
 	}
-	if m := room.first(room.ms, shape, j); m != nil {
+	if m := room.first(room.ms, roomKey{shape: j.shape, all: true}, j); m != nil {
 		return m, ""
 	}
 	// Better where it failed before than nowhere.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,7 +23,6 @@
 	"swiftledge/internal/leader"
 	"swiftledge/internal/netio"
 	"swiftledge/internal/peer"
-	"swiftledge/internal/placement"
 	"swiftledge/internal/store"
 	"swiftledge/wire"
 )
@@ -86,7 +85,7 @@
 			return c, nil
 		}}
 	n.desk = api.NewDesk(cfg, n.clock.Now)
-	n.office = peer.NewOffice(cfg.Name, n.store, cfg.Facts.State.ValueKB, peer.LetterGap)
+	n.office = peer.NewOffice(cfg.Name, n.store, cfg.ValueBytes(), peer.LetterGap)
 	return n
 }
 
@@ -294,12 +293,12 @@
 		return
 	}
 	for fails := 0; ctx.Err() == nil && n.desk.Epoch() == epoch; {
-		l, dec, err := peer.Dial(addr, peer.Hello{Node: n.cfg.Name, Run: n.run, Epoch: epoch})
+		l, err := peer.Dial(addr, peer.Hello{Node: n.cfg.Name, Run: n.run, Epoch: epoch})
 		switch {
 		case err == nil:
 			fails = 0
 			n.desk.Post(api.Met{})
-			n.linked(epoch, l, func(f func(*peer.Down)) { l.Follow(dec, f) })
+			n.linked(epoch, l)
 			continue
 		case errors.Is(err, peer.ErrNotLeading):
 			n.desk.Post(api.Met{})
@@ -321,7 +320,7 @@
 
 // letters speaks to the leader through the state service until it can be reached again.
 func (n *Node) letters(ctx context.Context, epoch uint64, name, addr string) {
-	l, follow, err := peer.DialRelayed(ctx, n.office, name, peer.Hello{Node: n.cfg.Name, Run: n.run, Epoch: epoch})
+	l, err := n.office.Dial(ctx, name, peer.Hello{Node: n.cfg.Name, Run: n.run, Epoch: epoch})
 	if err != nil {
 		n.log.Debug("no answer to letters", "leader", name, "error", err)
 		return
@@ -342,14 +341,14 @@
 			}
 		}
 	}()
-	n.linked(epoch, l, follow)
+	n.linked(epoch, l)
 	close(over)
 }
 
 // linked serves a link to the leader until it ends.
-func (n *Node) linked(epoch uint64, l *peer.Link, follow func(func(*peer.Down))) {
+func (n *Node) linked(epoch uint64, l *peer.Link) {
 	n.holder <- holderUp{epoch, l}
-	follow(func(d *peer.Down) {
+	l.Follow(func(d *peer.Down) {
 		n.desk.Post(api.Met{})
 		n.desk.Post(d)
 		n.holder <- d
@@ -387,11 +386,7 @@
 }
 
 func (n *Node) runHolder(ctx context.Context) {
-	t := n.cfg.Tuning.Placement
-	h := block.New(block.Params{Node: n.cfg.Name, GrantTime: n.cfg.GrantTime(), Lease: n.cfg.LeaseTime(),
-		ReportTime: clock.FromSeconds(n.cfg.Facts.Workers.ReportS),
-		ValueBytes: int(n.cfg.Facts.State.ValueKB * 1024 * 0.9), TxnOps: n.cfg.Facts.State.TxnOps},
-		placement.Params{K: t.K, Eta: t.Eta, Epsilon: t.Epsilon, Small: t.Small}, n.health.ok)
+	h := block.FromConfig(n.cfg, n.health.ok)
 	var link any
 	for msg := range n.holder {
 		switch m := msg.(type) {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -32,6 +32,7 @@
 type Link struct {
 	Peer Hello
 	conn net.Conn
+	dec  *msgpack.Decoder // holds what was read ahead with the Hello
 	out  chan any
 	done chan struct{}
 	slow bool // through the state service
@@ -40,8 +41,8 @@
 // Slow says whether messages take seconds.
 func (l *Link) Slow() bool { return l.slow }
 
-func newLink(c net.Conn, peer Hello, slow bool) *Link {
-	l := &Link{Peer: peer, conn: c, slow: slow, out: make(chan any, 256), done: make(chan struct{})}
+func newLink(c net.Conn, dec *msgpack.Decoder, peer Hello, slow bool) *Link {
+	l := &Link{Peer: peer, conn: c, dec: dec, slow: slow, out: make(chan any, 256), done: make(chan struct{})}
 	go l.write()
 	return l
 }
@@ -80,13 +81,13 @@
 func (l *Link) Close() { l.conn.Close() }
 
 // read calls f for every message until the link ends.
-func read[T any](l *Link, dec *msgpack.Decoder, f func(*T)) {
+func read[T any](l *Link, f func(*T)) {
 	defer close(l.done)
 	defer l.conn.Close()
 	for {
 		l.conn.SetReadDeadline(time.Now().Add(patience(l.slow, readTimeout)))
 		m := new(T)
-		if dec.Decode(m) != nil {
+		if l.dec.Decode(m) != nil {
 			return
 		}
 		f(m)
@@ -97,16 +98,16 @@
 var ErrNotLeading = errors.New("does not lead")
 
 // Dial links a follower to the leader at addr and returns after the leader has agreed.
-func Dial(addr string, h Hello) (*Link, *msgpack.Decoder, error) {
+func Dial(addr string, h Hello) (*Link, error) {
 	c, err := netio.Dial(addr, time.Second)
 	if err != nil {
-		return nil, nil, fmt.Errorf("peer: %w", err)
+		return nil, fmt.Errorf("peer: %w", err)
 	}
 	return greet(c, addr, h, false)
 }
 
 // greet exchanges Hellos on a new connection to the leader.
-func greet(c net.Conn, addr string, h Hello, slow bool) (*Link, *msgpack.Decoder, error) {
+func greet(c net.Conn, addr string, h Hello, slow bool) (*Link, error) {
 	c.SetDeadline(time.Now().Add(patience(slow, writeTimeout)))
 	var back Hello
 	dec := msgpack.NewDecoder(bufio.NewReaderSize(c, 8192))
@@ -122,14 +123,14 @@
 	}
 	if err != nil {
 		c.Close()
-		return nil, nil, fmt.Errorf("peer: %w", err)
+		return nil, fmt.Errorf("peer: %w", err)
 	}
 	c.SetDeadline(time.Time{})
-	return newLink(c, back, slow), dec, nil
+	return newLink(c, dec, back, slow), nil
 }
 
 // Follow reads what the leader says until the link ends.
-func (l *Link) Follow(dec *msgpack.Decoder, f func(*Down)) { read(l, dec, f) }
+func (l *Link) Follow(f func(*Down)) { read(l, f) }
 
 // Accept answers a follower's Hello if agree allows it, then reads until the link ends.
 func Accept(c net.Conn, slow bool, me Hello, agree func(Hello) bool, joined func(*Link), f func(*Link, *Up), left func(*Link)) {
@@ -154,8 +155,8 @@
 		return
 	}
 	c.SetDeadline(time.Time{})
-	l := newLink(c, h, slow)
+	l := newLink(c, dec, h, slow)
 	joined(l)
-	read(l, dec, func(u *Up) { f(l, u) })
+	read(l, func(u *Up) { f(l, u) })
 	left(l)
 }
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -259,8 +259,7 @@
 type MachineState struct {
 	_msgpack                  struct{} `msgpack:",as_array"`
 	Name, Type, Zone, Address string
-	Spot, Fit, Draining       bool // Fit: it can be given tasks
-	Lost                      bool // silent beyond its lease
+	Spot, Fit                 bool // Fit: it can be given tasks
 	Silent                    bool // not heard for long, or does not hear, while its lease may hold
 	Notice                    bool
 	Gone                      bool    // a leader, maybe a former one, had the cloud's word that it is deleted
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"strings"
@@ -73,9 +72,9 @@
 	}
 )
 
-// NewOffice makes an office; Run serves it. valueKB is the most that a value may hold.
-func NewOffice(me string, mail Mail, valueKB float64, gap time.Duration) *Office {
-	return &Office{me: me, mail: mail, bytes: int(valueKB*1024*0.9-200) * 3 / 4, gap: gap, calls: make(chan any, 64)}
+// NewOffice makes an office; Run serves it. bytes is the most that a value may hold.
+func NewOffice(me string, mail Mail, bytes int, gap time.Duration) *Office {
+	return &Office{me: me, mail: mail, bytes: (bytes - 200) * 3 / 4, gap: gap, calls: make(chan any, 64)}
 }
 
 // relayed is one connection; pump owns its state.
@@ -283,12 +282,7 @@
 	return true
 }
 
-// DialRelayed links a follower to the leader through the state service.
-func DialRelayed(ctx context.Context, o *Office, to string, h Hello) (*Link, func(func(*Down)), error) {
-	c := o.Open(ctx, to)
-	l, dec, err := greet(c, to, h, true)
-	if err != nil {
-		return nil, nil, fmt.Errorf("relayed: %w", err)
-	}
-	return l, func(f func(*Down)) { l.Follow(dec, f) }, nil
+// Dial links a follower to the leader through the state service.
+func (o *Office) Dial(ctx context.Context, to string, h Hello) (*Link, error) {
+	return greet(o.Open(ctx, to), to, h, true)
 }
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -19,7 +19,6 @@
 	"swiftledge/internal/config"
 	"swiftledge/internal/election"
 	"swiftledge/internal/leader"
-	"swiftledge/internal/placement"
 	"swiftledge/internal/standin"
 	"swiftledge/internal/store"
 	"swiftledge/wire"
@@ -380,13 +379,10 @@
 	n.gen++
 	n.alive = true
 	n.epoch, n.link, n.leaderRev, n.jobEpoch = 0, nil, 0, 0
-	t := n.cfg.Tuning.Placement
 	ok := func() bool { return !n.refused && !n.w.store.Down }
 	n.elector = election.New(election.Record{Node: n.name, Run: uint64(n.gen)*100 + uint64(n.i)}, clock.FromSeconds(n.cfg.Tuning.Election.TTLS))
 	n.leader = leader.New(&n.cfg, ok)
-	n.holder = block.New(block.Params{Node: n.name, GrantTime: n.cfg.GrantTime(), Lease: n.cfg.LeaseTime(),
-		ReportTime: clock.FromSeconds(n.cfg.Facts.Workers.ReportS), ValueBytes: int(n.cfg.Facts.State.ValueKB * 900), TxnOps: n.cfg.Facts.State.TxnOps},
-		placement.Params{K: t.K, Eta: t.Eta, Epsilon: t.Epsilon, Small: t.Small}, ok)
+	n.holder = block.FromConfig(&n.cfg, ok)
 	n.desk = api.NewDesk(&n.cfg, func() clock.Micros { return n.w.now })
 	go n.desk.Run(n.w.ctx)
 	n.svc = api.New(&n.cfg, n, func(_ context.Context, try int) bool { return try < 3 }, n.desk, ok, nil, func() clock.Micros { return n.w.now }, slog.New(slog.NewTextHandler(io.Discard, nil)))
