Full pages of start records held back starts; auctions over few edges, cheaper offers

Cause: with as many full pages in a block as one transaction holds (about 1,450 running tasks at 16 KiB), each cycle wrote them unchanged and started nothing; the leader offered the same tasks again, some thousand auctions in vain. Also: bids look only at the machines an image was on; identical tasks bid only as often as they can win; a team's turn is found anew only when it was served.

--- a/internal/block/cycle.go
+++ b/internal/block/cycle.go
@@ -106,6 +106,7 @@
 	cw     *cycleWrite
 	out    []PageWrite
 	pager  *peer.Pager
+	added  int // to the page that is open
 }
 
 func newCycleWriter(h *Holder, b *blk) *cycleWriter {
@@ -119,14 +120,25 @@
 	return w
 }
 
+// add finds a page for a record; false when the transaction holds no more.
 func (w *cycleWriter) add(r *rec) bool {
 	for {
-		if w.pager != nil && w.pager.Add(r.group, r.task.Index, r.attempt, r.m.name) {
-			w.cw.pages[len(w.cw.pages)-1].add(r)
-			w.cw.recs = append(w.cw.recs, r)
-			return true
+		if w.pager != nil {
+			if w.pager.Add(r.group, r.task.Index, r.attempt, r.m.name) {
+				w.added++
+				w.cw.pages[len(w.cw.pages)-1].add(r)
+				w.cw.recs = append(w.cw.recs, r)
+				return true
+			}
+			if w.added > 0 {
+				w.close()
+			} else {
+				// A full page. Written as it is it would only take the place of one with
+				// room, and the others that are in use are fuller still.
+				w.usable, w.pager = nil, nil
+				w.cw.pages = w.cw.pages[:len(w.cw.pages)-1]
+			}
 		}
-		w.close()
 		if len(w.out) >= min(w.h.p.TxnOps, max(1, txnBytes/w.h.p.ValueBytes)) {
 			return false
 		}
@@ -136,10 +148,11 @@
 
 // open begins the next page, with what it already holds.
 func (w *cycleWriter) open() {
-	w.pager = peer.NewPager(w.b.token, w.h.p.ValueBytes)
+	w.added = 0
 	if len(w.usable) > 0 {
 		p := w.usable[0]
 		w.usable = w.usable[1:]
+		w.pager = peer.NewPager(w.b.token, w.h.p.ValueBytes)
 		full := false
 		for _, r := range p.recs {
 			full = full || !w.pager.Add(r.group, r.task.Index, r.attempt, r.m.name)
@@ -148,10 +161,9 @@
 			w.cw.pages = append(w.cw.pages, p)
 			return
 		}
-		// All the others are fuller still.
 		w.usable = nil
-		w.pager = peer.NewPager(w.b.token, w.h.p.ValueBytes)
 	}
+	w.pager = peer.NewPager(w.b.token, w.h.p.ValueBytes)
 	w.b.pageSeq++
 	p := &page{key: RecordPrefix(w.b.id) + strconv.FormatUint(w.b.token, 10) + "-" + strconv.Itoa(w.b.pageSeq)}
 	w.b.pages = append(w.b.pages, p)
--- a/internal/block/holder_test.go
+++ b/internal/block/holder_test.go
@@ -1,6 +1,7 @@
 package block
 
 import (
+	"strconv"
 	"testing"
 
 	"swiftledge/internal/clock"
@@ -346,3 +347,37 @@
 		t.Error("the leader is not told that m1 is gone")
 	}
 }
+
+// Pages that are full must not take the place of new ones in a transaction: with as
+// many of them as it holds, nothing could start until some task ended.
+func TestFullPagesDoNotHoldBackStarts(t *testing.T) {
+	h := holding(t)
+	h.Step(now, &peer.Down{Epoch: 9, Types: []wire.MachineType{{Name: "small", CPUs: 4000, MemoryGB: 8000}}})
+	h.Step(now, beat("m1", 1, 50))
+	job := 100000
+	for seq := uint64(1); seq <= 15; seq++ {
+		job++
+		idx := make([]int, 250)
+		for i := range idx {
+			idx[i] = i
+		}
+		fx := h.Step(now, &peer.Down{Epoch: 9, Orders: []peer.BlockOrders{{Block: 0, Token: 50, Seq: seq,
+			Offers: []peer.Offer{{Job: wire.Job{Ref: "j-" + strconv.Itoa(job), Team: "red", CPUs: 1, Spot: true, Tasks: 250}, Indexes: idx}}}}})
+		started := 0
+		for _, e := range fx {
+			r, ok := e.(Record)
+			if !ok {
+				continue
+			}
+			txn, err := r.Txn()
+			if err != nil || len(txn.Then) > h.p.TxnOps {
+				t.Fatalf("cycle %d: %d puts in a transaction, %v", seq, len(txn.Then), err)
+			}
+			started = len(h.blocks[0].writing.recs)
+			h.Step(now, r.Settled(store.Outcome{OK: true, Revision: 30 + seq}))
+		}
+		if started != 250 {
+			t.Fatalf("cycle %d starts %d of 250 tasks, with %d pages in use", seq, started, len(h.blocks[0].pages))
+		}
+	}
+}
--- a/internal/block/messages.go
+++ b/internal/block/messages.go
@@ -4,10 +4,11 @@
 package block
 
 import (
-	"encoding/json"
 	"fmt"
 	"hash/fnv"
 
+	"github.com/goccy/go-json"
+
 	"swiftledge/internal/clock"
 	"swiftledge/internal/peer"
 	"swiftledge/internal/store"
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -1,13 +1,14 @@
 package leader
 
 import (
-	"encoding/json"
 	"fmt"
 	"math"
 	"math/bits"
 	"slices"
 	"strings"
 
+	"github.com/goccy/go-json"
+
 	"swiftledge/internal/clock"
 	"swiftledge/internal/peer"
 	"swiftledge/internal/store"
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -1,12 +1,13 @@
 package leader
 
 import (
-	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
 	"strings"
 
+	"github.com/goccy/go-json"
+
 	"swiftledge/internal/block"
 	"swiftledge/internal/clock"
 	"swiftledge/internal/config"
--- a/internal/leader/schedule.go
+++ b/internal/leader/schedule.go
@@ -58,6 +58,12 @@
 	q    []*queued
 	// What its classes use, and under "" what jobs use that have waited long.
 	use map[string]float64
+	// Whose turn it is within the team, and the team's place among the others; they
+	// change only when the team is served.
+	pick  *queued
+	first bool
+	key   [4]float64
+	known bool
 }
 
 const aged = ""
@@ -73,16 +79,16 @@
 			return q, true
 		}
 	}
-	seen := map[string]bool{}
+	var seen []string // a few classes
 	for _, q := range t.q {
-		if c := q.j.rec.Spec.Class; !seen[c] {
-			seen[c] = true
+		if c := q.j.rec.Spec.Class; !slices.Contains(seen, c) {
+			seen = append(seen, c)
 			if t.use[c] < floor*t.u.cpus {
 				return q, false
 			}
 		}
-		if q.aged && !seen[aged] {
-			seen[aged] = true
+		if q.aged && !slices.Contains(seen, aged) {
+			seen = append(seen, aged)
 			if t.use[aged] < floor*t.u.cpus {
 				return q, false
 			}
@@ -101,6 +107,34 @@
 // batch is how many tasks of a job go at once before another's turn is looked at.
 const batch = 8
 
+// settle finds whose turn it is within the team, and the team's place among the others.
+func (t *teamQueue) settle(floor float64) {
+	if t.known {
+		return
+	}
+	t.known = true
+	t.pick, t.first = t.next(floor)
+	// What the limit holds back must not be passed by smaller tasks of less
+	// important jobs, which would take every bit of room that comes free.
+	for t.pick != nil && !t.u.takes(&t.pick.j.rec.Spec, t.team.CPUsMax, t.team.GPUsMax) {
+		t.pick.spent = true
+		for _, o := range t.q {
+			o.spent = o.spent || o.rank() > t.pick.rank()
+		}
+		t.pick, t.first = t.next(floor)
+	}
+	if t.pick == nil {
+		return
+	}
+	t.key = [4]float64{1, 0, t.q[0].rank(), t.u.cpus / max(t.team.CPUs, 1)}
+	if t.first {
+		t.key[0] = 0
+	}
+	if !t.u.takes(&t.pick.j.rec.Spec, t.team.CPUs, t.team.GPUs) {
+		t.key[1] = 1
+	}
+}
+
 type offerKey struct {
 	block int
 	job   string
@@ -120,50 +154,31 @@
 	}
 	l.stirred, l.urgent = false, false
 	l.lastSchedule = now
+	queues := l.queues(now)
+	if len(queues) == 0 {
+		return
+	}
 	room := l.freeRoom()
 	if len(room.ms) == 0 {
 		return
 	}
-	queues := l.queues(now)
 	offers := map[offerKey]int{}
 	floor := l.cfg.Tuning.Queues.LeastShare
 	for {
 		var best *teamQueue
-		var job *queued
-		var bestKey [4]float64
-		one := false
 		for _, t := range queues {
-			q, first := t.next(floor)
-			// What the limit holds back must not be passed by smaller tasks of
-			// less important jobs, which would take every bit of room that comes free.
-			for q != nil && !t.u.takes(&q.j.rec.Spec, t.team.CPUsMax, t.team.GPUsMax) {
-				q.spent = true
-				for _, o := range t.q {
-					o.spent = o.spent || o.rank() > q.rank()
-				}
-				q, first = t.next(floor)
-			}
-			if q == nil {
-				continue
-			}
-			key := [4]float64{1, 0, t.q[0].rank(), t.u.cpus / max(t.team.CPUs, 1)}
-			if first {
-				key[0] = 0
-			}
-			if !t.u.takes(&q.j.rec.Spec, t.team.CPUs, t.team.GPUs) {
-				key[1] = 1
-			}
-			if best == nil || slices.Compare(key[:], bestKey[:]) < 0 {
-				best, job, bestKey, one = t, q, key, first
+			if t.settle(floor); t.pick != nil && (best == nil || slices.Compare(t.key[:], best.key[:]) < 0) {
+				best = t
 			}
 		}
 		if best == nil {
 			break
 		}
-		n := batch
-		if one {
+		job, n := best.pick, batch
+		if best.first {
 			n = 1
 		}
+		best.known = false
 		given := l.give(now, best, job.j, room, offers, n)
 		if given == 0 {
 			job.spent = true
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -3,6 +3,7 @@
 package placement
 
 import (
+	"container/heap"
 	"math"
 	"slices"
 
@@ -61,13 +62,18 @@
 func (b *Book) Affinity(image string, m *Machine, k float64, now clock.Micros) float64 {
 	for _, v := range b.images[image] {
 		if v.machine == m.Name {
-			alpha := float64(m.Unstarted+b.runs[m.Name]-v.run) * k
-			return math.Exp(-alpha * max(0, (now-v.at).Seconds()))
+			return b.decayed(v, m, k, now)
 		}
 	}
 	return 0
 }
 
+// decayed is the affinity that is left of a visit to a machine.
+func (b *Book) decayed(v visit, m *Machine, k float64, now clock.Micros) float64 {
+	alpha := float64(m.Unstarted+b.runs[m.Name]-v.run) * k
+	return math.Exp(-alpha * max(0, (now-v.at).Seconds()))
+}
+
 // Machine is a machine with its room.
 type Machine struct {
 	Name, Type, Zone   string
@@ -151,10 +157,11 @@
 			tasks = append(tasks, bidder{g, i, -1})
 		}
 	}
+	c := newCycle(machines, b, p, now)
 	var out []Match
 	for len(tasks) > 0 {
 		round := tasks[:min(len(tasks), len(machines))]
-		auction(round, machines, b, p, now)
+		c.auction(round)
 		var left []bidder
 		for i := range round {
 			t := &round[i]
@@ -170,68 +177,121 @@
 			b.Visit(t.g.Image, m.Name, now)
 			out = append(out, Match{t.g, t.index, m})
 		}
-		matched := len(round) - len(left)
-		rest := tasks[len(round):]
-		if matched == 0 {
-			// Nothing of this segment fits: only other groups may still.
-			rest = slices.DeleteFunc(slices.Clone(rest), func(t bidder) bool {
-				return slices.ContainsFunc(round, func(r bidder) bool { return r.g == t.g })
-			})
-			left = nil
+		// Room only shrinks: a group that fits nowhere now never will.
+		rest := append(left, tasks[len(round):]...)
+		fits := map[*Group]bool{}
+		for _, t := range left {
+			if _, ok := fits[t.g]; !ok {
+				fits[t.g] = slices.ContainsFunc(machines, t.g.Fits)
+			}
+		}
+		tasks = slices.DeleteFunc(rest, func(t bidder) bool {
+			f, ok := fits[t.g]
+			return ok && !f
+		})
+	}
+	return out
+}
+
+// cycle is what the auctions of one cycle share.
+type cycle struct {
+	machines []*Machine
+	at       map[string]int // by name: the machine's place
+	book     *Book
+	p        Params
+	now      clock.Micros
+	owner    []int // of each machine: who bids highest; -1: nobody
+	price    []float64
+	cached   map[string][]bool // by image: which machines are known to hold it
+}
+
+func newCycle(machines []*Machine, b *Book, p Params, now clock.Micros) *cycle {
+	c := &cycle{machines: machines, at: make(map[string]int, len(machines)), book: b, p: p, now: now,
+		owner: make([]int, len(machines)), price: make([]float64, len(machines)), cached: map[string][]bool{}}
+	for j, m := range machines {
+		c.at[m.Name] = j
+	}
+	return c
+}
+
+// edge is a machine that scores above eta for a group.
+type edge struct {
+	at     int
+	weight float64
+}
+
+// row is what all tasks with the same edges share.
+type row struct {
+	edges   []edge
+	bidders int
+}
+
+// edges are the group's machines above eta, in their order (Eq. 4: the affinity over
+// the load). An image has few visits, so the graph is sparse and nothing here is done
+// for every machine.
+func (c *cycle) edges(g *Group) []edge {
+	var out []edge
+	for _, v := range c.book.images[g.Image] {
+		j, ok := c.at[v.machine]
+		if !ok {
+			continue
+		}
+		m := c.machines[j]
+		if !g.Fits(m) {
+			continue
 		}
-		next := make([]bidder, 0, len(left)+len(rest))
-		tasks = append(append(next, left...), rest...)
-		for i := range tasks {
-			tasks[i].at = -1
+		if s := c.book.decayed(v, m, c.p.K, c.now); s > c.p.Eta {
+			out = append(out, edge{j, s / (float64(m.Unstarted) + c.p.Small)})
 		}
 	}
+	slices.SortFunc(out, func(a, b edge) int { return a.at - b.at })
 	return out
 }
 
 // auction is Algorithm 1 for at most as many tasks as machines.
-func auction(tasks []bidder, machines []*Machine, b *Book, p Params, now clock.Micros) {
-	n := len(machines)
-	weight := make([][]float64, len(tasks)) // NaN: does not fit
-	byGroup := map[*Group][]float64{}
+func (c *cycle) auction(tasks []bidder) {
+	byGroup := map[*Group]*row{}
+	byImage := map[string][]*row{}
+	// Of tasks with the same row only as many bid as it has machines: more could not win,
+	// and would only drive the prices up, a step of epsilon at a time.
+	var queue []int
 	for i, t := range tasks {
-		row, ok := byGroup[t.g]
-		if !ok {
-			row = make([]float64, n)
-			for j, m := range machines {
-				switch {
-				case !t.g.Fits(m):
-					row[j] = math.NaN()
-				default:
-					// Eq. 4: the affinity over the load; below eta there is no edge.
-					if s := b.Affinity(t.g.Image, m, p.K, now); s > p.Eta {
-						row[j] = s / (float64(m.Unstarted) + p.Small)
-					}
-				}
+		r := byGroup[t.g]
+		if r == nil {
+			edges := c.edges(t.g)
+			at := slices.IndexFunc(byImage[t.g.Image], func(o *row) bool { return slices.Equal(o.edges, edges) })
+			if at < 0 {
+				at = len(byImage[t.g.Image])
+				byImage[t.g.Image] = append(byImage[t.g.Image], &row{edges: edges})
 			}
-			byGroup[t.g] = row
+			r = byImage[t.g.Image][at]
+			byGroup[t.g] = r
+		}
+		if r.bidders < len(r.edges) {
+			r.bidders++
+			queue = append(queue, i)
 		}
-		weight[i] = row
 	}
-	price := make([]float64, n)
-	owner := make([]int, n)
-	for j := range owner {
-		owner[j] = -1
+	bidders := slices.Clone(queue)
+	for j := range c.owner {
+		c.owner[j], c.price[j] = -1, 0
 	}
-	queue := make([]int, len(tasks))
-	for i := range queue {
-		queue[i] = i
+	weight := func(i int) float64 {
+		for _, e := range byGroup[tasks[i].g].edges {
+			if e.at == tasks[i].at {
+				return e.weight
+			}
+		}
+		return 0
 	}
 	total := 0.0
 	for len(queue) > 0 {
 		var outbid []int
 		for _, i := range queue {
 			best, second, at := math.Inf(-1), math.Inf(-1), -1
-			for j, w := range weight[i] {
-				if math.IsNaN(w) || w == 0 {
-					continue
-				}
-				if v := w - price[j]; v > best {
-					best, second, at = v, best, j
+			for _, e := range byGroup[tasks[i].g].edges {
+				if v := e.weight - c.price[e.at]; v > best {
+					best, second, at = v, best, e.at
 				} else if v > second {
 					second = v
 				}
@@ -241,63 +301,94 @@
 				continue
 			}
 			second = max(second, 0)
-			if o := owner[at]; o >= 0 {
+			if o := c.owner[at]; o >= 0 {
 				tasks[o].at = -1
 				outbid = append(outbid, o)
 			}
-			price[at] += best - second + p.Epsilon
-			owner[at], tasks[i].at = i, at
+			c.price[at] += best - second + c.p.Epsilon
+			c.owner[at], tasks[i].at = i, at
 		}
 		sum := 0.0
-		for j, o := range owner {
-			if o >= 0 {
-				sum += weight[o][j]
+		for _, i := range bidders {
+			if tasks[i].at >= 0 {
+				sum += weight(i)
 			}
 		}
 		queue = outbid
-		if math.Abs(sum-total) < p.Eta && len(outbid) == 0 {
+		if math.Abs(sum-total) < c.p.Eta && len(outbid) == 0 {
 			break
 		}
 		total = sum
 	}
-	// Who has no machine above eta takes the fitting one with the fewest unstarted
-	// tasks; among these one that is known to hold the image, so that it is not fetched.
-	cached := map[string][]bool{}
+	// Who has no machine above eta takes the fitting one with the fewest unstarted tasks.
+	left := map[*Group]*seats{}
 	for i := range tasks {
 		if tasks[i].at >= 0 {
 			continue
 		}
-		image := tasks[i].g.Image
-		has := cached[image]
-		if has == nil {
-			has = make([]bool, n)
-			for j, m := range machines {
-				has[j] = m.Images.Has(image)
-			}
-			cached[image] = has
+		g := tasks[i].g
+		s := left[g]
+		if s == nil {
+			s = c.seats(g)
+			left[g] = s
 		}
-		at := -1
-		for j, m := range machines {
-			if owner[j] >= 0 || math.IsNaN(weight[i][j]) {
-				continue
-			}
-			if at < 0 || lighter(m, machines[at], has[j], has[at]) {
-				at = j
+		for s.Len() > 0 && tasks[i].at < 0 {
+			if at := heap.Pop(s).(seat).at; c.owner[at] < 0 {
+				c.owner[at], tasks[i].at = i, at
 			}
 		}
-		if at >= 0 {
-			owner[at], tasks[i].at = i, at
-		}
 	}
 }
 
-// lighter says whether a is the better fallback than b.
-func lighter(a, b *Machine, hasA, hasB bool) bool {
-	if a.Unstarted != b.Unstarted {
-		return a.Unstarted < b.Unstarted
+// seat is a machine as a fallback.
+type seat struct {
+	at, unstarted int
+	cached        bool
+	cpus          float64
+}
+
+// seats is a heap, the best fallback first: the fewest unstarted tasks; among these one
+// that is known to hold the image, so that it is not fetched; then the fullest.
+type seats []seat
+
+func (s seats) Len() int { return len(s) }
+func (s seats) Less(i, j int) bool {
+	a, b := &s[i], &s[j]
+	switch {
+	case a.unstarted != b.unstarted:
+		return a.unstarted < b.unstarted
+	case a.cached != b.cached:
+		return a.cached
+	case a.cpus != b.cpus:
+		return a.cpus < b.cpus
+	}
+	return a.at < b.at
+}
+func (s seats) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
+func (s *seats) Push(x any)   { *s = append(*s, x.(seat)) }
+func (s *seats) Pop() any {
+	old := *s
+	x := old[len(old)-1]
+	*s = old[:len(old)-1]
+	return x
+}
+
+// seats are the machines that a group fits on and nobody owns.
+func (c *cycle) seats(g *Group) *seats {
+	has, ok := c.cached[g.Image]
+	if !ok {
+		has = make([]bool, len(c.machines))
+		for j, m := range c.machines {
+			has[j] = m.Images.Has(g.Image)
+		}
+		c.cached[g.Image] = has
 	}
-	if hasA != hasB {
-		return hasA
+	out := make(seats, 0, len(c.machines))
+	for j, m := range c.machines {
+		if c.owner[j] < 0 && g.Fits(m) {
+			out = append(out, seat{j, m.Unstarted, has[j], m.CPUs})
+		}
 	}
-	return a.CPUs < b.CPUs
+	heap.Init(&out)
+	return &out
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -58,7 +58,7 @@
 		}
 		p := Params{K: 0.001, Eta: 0.05, Epsilon: 0.001, Small: 0.5}
 		w := weights(tasks, ms, b, p, now)
-		auction(tasks, ms, b, p, now)
+		newCycle(ms, b, p, now).auction(tasks)
 		got := 0.0
 		taken := map[int]bool{}
 		for i, x := range tasks {
--- a/internal/scenario/size_test.go
+++ b/internal/scenario/size_test.go
@@ -11,70 +11,155 @@
 	"swiftledge/wire"
 )
 
-// The grown deployments: what a started task and a machine may cost in puts, and what
-// the controllers and all they talk to may hold, at hundreds of machines.
-func TestCostAtSize(t *testing.T) {
+// fleetSize is a deployment at half as many machines again as its operators name.
+type fleetSize struct {
+	name               string
+	machines           int
+	teams              int
+	cpus, cpusMax      float64
+	report, lease, end float64
+	rps, writes        float64
+	valueKB            float64
+	txnOps             int
+	cloudRPS, lag      float64
+	cpu, mem           float64
+	sockets            int
+	zones              []string
+	types              []wire.MachineType
+	jobs, tasks        int
+	taskCPUs, taskMem  float64
+	runS               float64
+}
+
+func fleetSizes() []fleetSize {
+	zones := []string{"a", "b", "c", "d"}
+	return []fleetSize{
+		{name: "one type", machines: 2240, teams: 16, cpus: 375, cpusMax: 3000, report: 6, lease: 31, end: 61, rps: 300, writes: 40, valueKB: 4, txnOps: 8,
+			cloudRPS: 9, lag: 8, cpu: 0.252, mem: 322, sockets: 3925, zones: zones[:1],
+			types: []wire.MachineType{{Name: "small", CPUs: 4, MemoryGB: 8, CacheGB: 40, FetchGBPS: 0.6, Price: 0.26, SpotPrice: 0.09, BootS: 25, ZoneNames: zones[:1]}},
+			jobs:  40, tasks: 300, taskCPUs: 2, taskMem: 3.2, runS: 15},
+		{name: "two types, four zones", machines: 1750, teams: 10, cpus: 1050, cpusMax: 4500, report: 5, lease: 26.5, end: 46.5, rps: 250, writes: 60, valueKB: 16, txnOps: 12,
+			cloudRPS: 3, lag: 4, cpu: 0.192, mem: 271, sockets: 2999, zones: zones,
+			types: []wire.MachineType{
+				{Name: "small", CPUs: 4, MemoryGB: 8, CacheGB: 80, FetchGBPS: 0.2, Price: 0.26, SpotPrice: 0.1, BootS: 50, ZoneNames: zones},
+				{Name: "middle", CPUs: 8, MemoryGB: 32, CacheGB: 60, FetchGBPS: 0.5, Price: 0.55, SpotPrice: 0.19, BootS: 50, ZoneNames: zones}},
+			jobs: 40, tasks: 600, taskCPUs: 1, taskMem: 1.1, runS: 40},
+	}
+}
+
+func (z *fleetSize) world() *world {
 	cfg := config.Config{Tuning: config.DefaultTuning()}
 	f := &cfg.Facts
-	f.InitialSize = 3
-	f.Zones = []string{"a"}
-	for i := range 16 {
-		f.Teams = append(f.Teams, config.Team{Name: fmt.Sprint("t", i), CPUs: 80, CPUsMax: 700})
-	}
-	f.Workers.ReportS, f.Workers.LeaseS, f.Workers.CancelS = 4, 22, 52
-	f.State.RPS, f.State.WriteRPS, f.State.ValueKB, f.State.TxnOps = 100, 15, 4, 8
-	f.Cloud.RPS, f.Cloud.ListLagS = 5, 8
-	f.Quota.CPU, f.Quota.MemMB, f.Quota.MaxSockets = 0.1, 125, 1500
-	types := []wire.MachineType{{Name: "small", CPUs: 4, MemoryGB: 8, CacheGB: 40, FetchGBPS: 0.6, Price: 0.26, SpotPrice: 0.09, BootS: 25, ZoneNames: []string{"a"}}}
-	w := newWorld(cfg, types, 1)
+	f.InitialSize, f.Zones = 3, z.zones
+	for i := range z.teams {
+		f.Teams = append(f.Teams, config.Team{Name: fmt.Sprint("t", i), CPUs: z.cpus, CPUsMax: z.cpusMax})
+	}
+	f.Workers.ReportS, f.Workers.LeaseS, f.Workers.CancelS = z.report, z.lease, z.end
+	f.State.RPS, f.State.WriteRPS, f.State.ValueKB, f.State.TxnOps = z.rps, z.writes, z.valueKB, z.txnOps
+	f.Cloud.RPS, f.Cloud.ListLagS = z.cloudRPS, z.lag
+	f.Quota.CPU, f.Quota.MemMB, f.Quota.MaxSockets = z.cpu, z.mem, z.sockets
+	w := newWorld(cfg, z.types, 1)
+	w.cloud.Capacity = z.machines
+	return w
+}
+
+func (w *world) submitTo(t *testing.T, z *fleetSize, i, n int) {
+	ref := fmt.Sprintf("j-%06d", i)
+	body, err := json.Marshal(wire.Job{Ref: ref, Class: "l", Team: fmt.Sprint("t", i%z.teams), Shape: "batch", Priority: wire.Standard, Tasks: n,
+		CPUs: z.taskCPUs, MemoryGB: z.taskMem, Image: fmt.Sprint("img", i%6), ImageGB: 1.5, Spot: true, EstimateS: z.runS})
+	must(err)
+	w.runS[ref] = z.runS
+	if got := w.submit(w.nodes[i%3], body); got != "201 queued" {
+		t.Fatalf("submission %d: %s", i, got)
+	}
+}
+
+func heapMB() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc) / (1 << 20)
+}
+
+// What a started task and a machine cost in puts, what a controller holds, and how a
+// takeover goes, at the size that the operators may reach.
+func TestCostAtSize(t *testing.T) {
+	for _, z := range fleetSizes() {
+		t.Run(z.name, func(t *testing.T) { costAtSize(t, &z) })
+	}
+}
+
+func costAtSize(t *testing.T, z *fleetSize) {
+	w := z.world()
 	defer w.stop()
-	w.cloud.Capacity = 400
 	w.run(3 * clock.Second)
-	tasks := 0
-	submit := func(i, n int) {
-		ref := fmt.Sprintf("j-%06d", i)
-		body, err := json.Marshal(wire.Job{Ref: ref, Class: "l", Team: fmt.Sprint("t", i%16), Shape: "batch", Priority: wire.Standard, Tasks: n,
-			CPUs: 2, MemoryGB: 3.2, Image: fmt.Sprint("img", i%6), ImageGB: 1.5, Spot: true, EstimateS: 15})
-		must(err)
-		w.runS[ref] = 15
-		if got := w.submit(w.nodes[i%3], body); got != "201 queued" {
-			t.Fatalf("submission %d: %s", i, got)
-		}
-		tasks += n
+	for i := range z.jobs {
+		w.submitTo(t, z, i, z.tasks)
 	}
-	for i := range 20 {
-		submit(i, 250)
-	}
-	w.run(60 * clock.Second)
+	w.run(75 * clock.Second)
 	machines := len(w.cloud.Machines)
+	if machines < z.machines*9/10 {
+		t.Errorf("%d of %d machines were rented", machines, z.machines)
+	}
 	roster, _ := w.store.List("fleet/")
-	if machines < 300 || len(roster) == 0 || len(roster) > machines/20 {
+	if len(roster) == 0 || len(roster) > machines/20 {
 		t.Errorf("the roster has %d keys for %d machines", len(roster), machines)
 	}
-	w.run(90 * clock.Second)
+
+	// All controllers end and come back: the workers' leases outlast the takeover.
+	for _, n := range w.nodes {
+		n.crash()
+	}
+	w.run(8 * clock.Second)
+	for _, n := range w.nodes {
+		n.start()
+	}
+	back := w.now
+	for w.unanswered(back) > 0 && w.now < back+clock.Minute {
+		w.run(clock.Second / 2)
+	}
+	took := w.now - back
+	for _, s := range w.workers {
+		if s.Session > 1 && !s.dead {
+			t.Fatalf("%s lost its lease while the controllers were back after %.1f s", s.Name, took.Seconds())
+		}
+	}
+
+	for i := range z.jobs {
+		w.submitTo(t, z, 1000+i, z.tasks)
+	}
+	w.run(60 * clock.Second)
 	started := 0
 	for _, n := range w.ran {
 		started += n
 	}
-	if started < tasks/2 {
-		t.Fatalf("%d of %d tasks have run", started, tasks)
+	if started < z.jobs*z.tasks*9/10 {
+		t.Errorf("%d of %d tasks have run", started, 2*z.jobs*z.tasks)
 	}
-	if per := float64(w.store.Puts) / float64(started); per > 0.5 {
+	if per := float64(w.store.Puts) / float64(started); per > 0.25 {
 		t.Errorf("%.2f puts for each task that ran (%d for %d)", per, w.store.Puts, started)
 	}
 	// Tens of thousands of tasks wait.
-	for i := range 10 {
-		submit(100+i, 10000)
+	for i := range 20 {
+		w.submitTo(t, z, 2000+i, 5000)
 	}
-	w.run(20 * clock.Second)
-	var m runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&m)
-	if mb := float64(m.HeapAlloc) / (1 << 20); mb > 100 {
+	w.run(10 * clock.Second)
+	if mb := heapMB(); mb > z.mem/3 {
 		t.Errorf("three controllers, state service, cloud and workers hold %.0f MB", mb)
 	}
 	if len(w.broken) > 0 {
 		t.Errorf("rules: %v", w.broken)
 	}
-	t.Logf("%d puts, %d tasks ran, %d machines, %d roster keys, %.0f MB", w.store.Puts, started, machines, len(roster), float64(m.HeapAlloc)/(1<<20))
+	t.Logf("%d machines, %d roster keys, %d tasks ran, %d puts, all answered %.1f s after all controllers were back, %.0f MB",
+		machines, len(roster), started, w.store.Puts, took.Seconds(), heapMB())
+}
+
+// unanswered counts the workers that have had no answer to a report sent since then.
+func (w *world) unanswered(since clock.Micros) (n int) {
+	for _, s := range w.workers {
+		if !s.dead && s.Renewed() < since {
+			n++
+		}
+	}
+	return n
 }
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -59,6 +59,10 @@
 	cloud   *standin.Cloud
 	nodes   []*simNode
 	workers []*simWorker
+	byName  map[string]*simWorker
+	coming  []*standin.Rented // rented and not up yet
+	rented  int               // how many of the cloud's machines were taken in
+	holds   map[string][]held // by team: what was on machines when last looked at
 	jobs    map[string]wire.Job
 	runS    map[string]float64
 	aborted map[string]clock.Micros // when the user was told
@@ -70,6 +74,12 @@
 	ctx     context.Context
 }
 
+// held is a task on a machine.
+type held struct {
+	s *simWorker
+	t *standin.Task
+}
+
 type simNode struct {
 	w           *world
 	i           int
@@ -130,9 +140,10 @@
 func newWorld(cfg config.Config, types []wire.MachineType, seed uint64) *world {
 	ctx, stop := context.WithCancel(context.Background())
 	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), cfg: cfg, ctx: ctx, stop: stop,
-		store: standin.NewStore(cfg.Facts.State.ValueKB, cfg.Facts.State.TxnOps),
-		cloud: standin.NewCloud(types, clock.FromSeconds(cfg.Facts.Cloud.ListLagS)),
-		jobs:  map[string]wire.Job{}, runS: map[string]float64{}, aborted: map[string]clock.Micros{}, ran: map[string]int{}, sent: map[string]clock.Micros{}, begun: map[string]clock.Micros{}}
+		store:  standin.NewStore(cfg.Facts.State.ValueKB, cfg.Facts.State.TxnOps),
+		cloud:  standin.NewCloud(types, clock.FromSeconds(cfg.Facts.Cloud.ListLagS)),
+		byName: map[string]*simWorker{}, holds: map[string][]held{},
+		jobs: map[string]wire.Job{}, runS: map[string]float64{}, aborted: map[string]clock.Micros{}, ran: map[string]int{}, sent: map[string]clock.Micros{}, begun: map[string]clock.Micros{}}
 	for i := range cfg.Facts.InitialSize {
 		n := &simNode{w: w, i: i, name: fmt.Sprintf("n%d", i), cfg: cfg}
 		n.cfg.Name = n.name
@@ -163,12 +174,15 @@
 	for _, n := range w.nodes {
 		n.tick()
 	}
-	for _, name := range sortedKeys(w.cloud.Machines) {
-		m := w.cloud.Machines[name]
-		if !m.Gone && !m.Dead && !m.Never && w.now >= m.UpAt && w.worker(name) == nil {
+	w.coming = append(w.coming, w.cloud.Order[w.rented:]...)
+	w.rented = len(w.cloud.Order)
+	w.coming = slices.DeleteFunc(w.coming, func(m *standin.Rented) bool {
+		up := !m.Gone && !m.Dead && !m.Never && w.now >= m.UpAt
+		if up {
 			w.boot(m)
 		}
-	}
+		return up || m.Gone
+	})
 	for _, s := range w.workers {
 		s.tick(w)
 	}
@@ -202,14 +216,7 @@
 	}
 }
 
-func (w *world) worker(name string) *simWorker {
-	for _, s := range w.workers {
-		if s.Name == name {
-			return s
-		}
-	}
-	return nil
-}
+func (w *world) worker(name string) *simWorker { return w.byName[name] }
 
 func (w *world) boot(m *standin.Rented) {
 	var t wire.MachineType
@@ -232,6 +239,7 @@
 	s.nextAt = w.now
 	s.target = w.rng.IntN(len(w.nodes))
 	w.workers = append(w.workers, s)
+	w.byName[s.Name] = s
 }
 
 // started judges the rules that can break when a task begins to run.
@@ -247,23 +255,16 @@
 	}
 	use := 0.0
 	zones := map[string]int{}
-	for _, s := range w.workers {
-		if s.dead {
-			continue
-		}
-		for _, o := range s.Tasks {
-			if !o.Holds() {
-				continue
-			}
-			if o.Task == t.Task && o != t {
-				w.breaks("ran_twice: %s on %s and %s", t.Task, s.Name, at.Name)
-			}
-			if o.Job.Team == t.Job.Team {
-				use += o.Job.CPUs
-			}
-			if o.Job.Ref == t.Job.Ref {
-				zones[s.Zone]++
-			}
+	on := append(w.holds[t.Job.Team], held{at, t})
+	on = slices.DeleteFunc(on, func(h held) bool { return h.s.dead || !h.t.Holds() })
+	w.holds[t.Job.Team] = on
+	for _, h := range on {
+		if h.t.Task == t.Task && h.t != t {
+			w.breaks("ran_twice: %s on %s and %s", t.Task, h.s.Name, at.Name)
+		}
+		use += h.t.Job.CPUs
+		if h.t.Job.Ref == t.Job.Ref {
+			zones[h.s.Zone]++
 		}
 	}
 	if team, _ := w.cfg.Team(t.Job.Team); use > team.CPUsMax+1e-9 {
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
-	"slices"
 
 	"swiftledge/internal/clock"
 	"swiftledge/wire"
@@ -25,6 +23,7 @@
 	Lag      clock.Micros
 	NoBoot   int // how many of the next machines never come up
 	Machines map[string]*Rented
+	Order    []*Rented // all of them, in the order of creation, which is that of their names
 
 	requests map[string][]string
 	n        int
@@ -52,7 +51,7 @@
 	left := r.Count
 	if c.Capacity > 0 {
 		have := 0
-		for _, m := range c.Machines {
+		for _, m := range c.Order {
 			if !m.Gone {
 				have++
 			}
@@ -83,6 +82,7 @@
 		m.Never = true
 	}
 	c.Machines[m.Name] = m
+	c.Order = append(c.Order, m)
 	return m
 }
 
@@ -98,8 +98,7 @@
 // List is the machine list.
 func (c *Cloud) List(now clock.Micros) []wire.Machine {
 	var out []wire.Machine
-	for _, n := range slices.Sorted(maps.Keys(c.Machines)) {
-		m := c.Machines[n]
+	for _, m := range c.Order {
 		if m.Gone || now < m.Listed {
 			continue
 		}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -50,6 +50,9 @@
 	w.Kept = map[string]bool{}
 }
 
+// Renewed is when the last report that was answered was sent, or the session began.
+func (w *Worker) Renewed() clock.Micros { return w.renewed }
+
 // Reboot begins anew under the same name: nothing from before is known.
 func (w *Worker) Reboot(now clock.Micros) {
 	for _, t := range w.Tasks {
