Sockets divided by need; want of sockets no longer ends the process

A controller alone with 2,241 machines reached max_sockets (3,925): one connection from each worker and one kept to each for direct commands. fasthttp ends at the first error of Accept, so running out of descriptors would have ended the process.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -34,20 +34,31 @@
 	wall    func() clock.Micros // time of day
 	log     *slog.Logger
 	form    formChecker
+	most    int // connections at once
+	app     *fiber.App
 }
 
 // New makes the service; report answers a worker.
 func New(cfg *config.Config, s Store, pause func(context.Context, int) bool, d *Desk, storeOK func() bool, report func(*wire.Report) block.Answer, wall func() clock.Micros, log *slog.Logger) *Service {
-	return &Service{cfg: cfg, store: s, pause: pause, desk: d, storeOK: storeOK, report: report, wall: wall, log: log, form: newFormChecker()}
+	return &Service{cfg: cfg, store: s, pause: pause, desk: d, storeOK: storeOK, report: report, wall: wall, log: log, form: newFormChecker(),
+		most: cfg.HTTPSockets()}
 }
 
 // Serve answers on l until it fails.
 func (s *Service) Serve(l net.Listener) error {
+	s.app = s.routes()
+	if err := s.app.Listener(l, fiber.ListenConfig{DisableStartupMessage: true}); err != nil {
+		return fmt.Errorf("serve: %w", err)
+	}
+	return nil
+}
+
+func (s *Service) routes() *fiber.App {
 	app := fiber.New(fiber.Config{
 		BodyLimit:    maxBody,
 		IdleTimeout:  90 * time.Second,
 		ReadTimeout:  60 * time.Second,
-		Concurrency:  max(64, s.cfg.Facts.Quota.MaxSockets*6/10),
+		Concurrency:  s.most,
 		ErrorHandler: problem,
 		JSONEncoder:  json.Marshal,
 		JSONDecoder:  json.Unmarshal,
@@ -57,10 +68,13 @@
 	app.Get("/api/jobs/:ref", s.status)
 	app.Post("/api/jobs/:ref/abort", s.abort)
 	app.Get("/ready", s.ready)
-	if err := app.Listener(l, fiber.ListenConfig{DisableStartupMessage: true}); err != nil {
-		return fmt.Errorf("serve: %w", err)
-	}
-	return nil
+	return app
+}
+
+// crowded says whether workers are to give their connections up after each answer:
+// they come every few seconds, and must not keep users and health probes out.
+func (s *Service) crowded() bool {
+	return int(s.app.Server().GetOpenConnectionsCount()) > s.most*9/10
 }
 
 func problem(c fiber.Ctx, err error) error {
@@ -125,6 +139,9 @@
 		return fiber.NewError(400, "report: "+err.Error())
 	}
 	a := s.report(r)
+	if s.crowded() {
+		c.RequestCtx().SetConnectionClose()
+	}
 	switch a.Status {
 	case 200:
 		return c.JSON(a.Body)
--- /dev/null
+++ b/internal/api/api_test.go
@@ -0,0 +1,78 @@
+package api
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"swiftledge/internal/block"
+	"swiftledge/internal/clock"
+	"swiftledge/internal/config"
+	"swiftledge/wire"
+)
+
+// With as many workers as there may be connections, users and probes still get in:
+// the workers' connections are given up first, after an answer.
+func TestWorkersLeaveConnectionsToUsers(t *testing.T) {
+	cfg := &config.Config{}
+	cfg.Facts.Quota.MaxSockets = 100
+	desk := NewDesk(cfg, func() clock.Micros { return 0 })
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go desk.Run(ctx)
+	s := New(cfg, nil, nil, desk, func() bool { return true }, func(*wire.Report) block.Answer {
+		return block.Answer{Status: 200}
+	}, nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go s.Serve(l)
+	ask := func(req string) *fasthttp.Response {
+		t.Helper()
+		c, err := net.Dial("tcp4", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		if _, err := io.WriteString(c, req); err != nil {
+			t.Fatal(err)
+		}
+		var res fasthttp.Response
+		if err := res.Read(bufio.NewReader(c)); err != nil {
+			t.Fatal(err)
+		}
+		return &res
+	}
+	body := `{"rig":"host-000001","stint":1,"tally":1}`
+	beat := "POST /agent/beat HTTP/1.1\r\nHost: a\r\nContent-Type: application/json\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+	kept := 0
+	for range 2 * cfg.HTTPSockets() {
+		res := ask(beat)
+		if res.StatusCode() != 200 {
+			t.Fatalf("a worker gets %d: %s", res.StatusCode(), res.Body())
+		}
+		if !res.ConnectionClose() {
+			kept++
+		}
+	}
+	if kept < cfg.HTTPSockets()/2 || kept >= cfg.HTTPSockets() {
+		t.Errorf("%d workers keep their connections, of %d in all", kept, cfg.HTTPSockets())
+	}
+	for range 5 {
+		if res := ask("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n"); res.StatusCode() != 200 || res.ConnectionClose() {
+			t.Errorf("a probe gets %d", res.StatusCode())
+		}
+	}
+	if !strings.HasPrefix(string(ask("GET /api/jobs/nothing HTTP/1.1\r\nHost: a\r\n\r\n").Body()), "{") {
+		t.Error("a user gets no answer")
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -167,6 +167,15 @@
 // ValueBytes is how much we put into one value of the state service at most.
 func (c *Config) ValueBytes() int { return int(c.Facts.State.ValueKB * 1024 * 0.9) }
 
+// HTTPSockets is how many connections from users and workers are served at once.
+// A controller that is left alone speaks to every machine of the site both ways, so
+// the limit is divided: most for what comes in, a fifth for direct commands, and the
+// rest for the state service, the cloud, the other controllers and what is closing.
+func (c *Config) HTTPSockets() int { return max(64, c.Facts.Quota.MaxSockets*7/10) }
+
+// CommandSockets is how many connections for direct commands are kept open.
+func (c *Config) CommandSockets() int { return c.Facts.Quota.MaxSockets / 5 }
+
 // LeaseTime is the workers' lease.
 func (c *Config) LeaseTime() clock.Micros { return clock.FromSeconds(c.Facts.Workers.LeaseS) }
 
--- a/internal/netio/conn_test.go
+++ b/internal/netio/conn_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -72,3 +73,41 @@
 		t.Errorf("read after Close: %v", err)
 	}
 }
+
+// failing fails some accepts before one succeeds.
+type failing struct {
+	net.Listener
+	errs []error
+}
+
+func (f *failing) Accept() (net.Conn, error) {
+	if len(f.errs) > 0 {
+		err := f.errs[0]
+		f.errs = f.errs[1:]
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", err)}
+	}
+	return f.Listener.Accept()
+}
+
+// A server takes the first error of Accept for the end; want of sockets must not end it.
+func TestAcceptOutlastsWantOfSockets(t *testing.T) {
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := listener{&failing{inner, []error{syscall.EMFILE, syscall.ECONNABORTED, syscall.EMFILE}}}
+	a, err := Dial(inner.Addr().String(), 10*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.Close()
+	b, err := l.Accept()
+	if err != nil {
+		t.Fatalf("accept: %v", err)
+	}
+	b.Close()
+	inner.Close()
+	if _, err := l.Accept(); err == nil {
+		t.Error("accepts on a closed listener")
+	}
+}
--- a/internal/netio/listen.go
+++ b/internal/netio/listen.go
@@ -1,18 +1,39 @@
 package netio
 
 import (
+	"errors"
 	"net"
+	"syscall"
 	"time"
 )
 
 type listener struct{ net.Listener }
 
+// pause is how long an accept that failed for want of something waits.
+const pause = 20 * time.Millisecond
+
+// Accept waits out what passes: at the limit of open sockets, or with a connection
+// that was given up meanwhile, a server would end that takes any error for the last.
 func (l listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		switch {
+		case err == nil:
+			return Wrap(c), nil
+		case !passes(err):
+			return nil, err
+		}
+		time.Sleep(pause)
 	}
-	return Wrap(c), nil
+}
+
+func passes(err error) bool {
+	for _, e := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.EPROTO} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
 }
 
 // Listen listens on a TCP address.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,6 +58,7 @@
 	health  *health
 	cloud   *cloud.Client
 	workers *fasthttp.Client
+	dialled dialled
 	desk    *api.Desk
 	office  *peer.Office
 
@@ -77,20 +78,12 @@
 	n.workers = &fasthttp.Client{MaxConnsPerHost: 3, MaxIdemponentCallAttempts: 1, MaxIdleConnDuration: 40 * time.Second,
 		RetryIfErr:               func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		NoDefaultUserAgentHeader: true, ReadBufferSize: 2048, WriteBufferSize: 2048,
-		Dial: func(a string) (net.Conn, error) {
-			c, err := netio.Dial(a, time.Second)
-			if err != nil {
-				return nil, fmt.Errorf("%w: %w", errDial, err)
-			}
-			return c, nil
-		}}
+		Dial: n.dialled.dial}
 	n.desk = api.NewDesk(cfg, n.clock.Now)
 	n.office = peer.NewOffice(cfg.Name, n.store, cfg.ValueBytes(), peer.LetterGap)
 	return n
 }
 
-var errDial = errors.New("dial")
-
 // share is this node's part of the store's budget: the leader writes most. The
 // parts add up to more than the whole, since bursts seldom meet; see store.Budget.
 func (n *Node) share(leads bool) store.Budget {
@@ -457,6 +450,9 @@
 	req.Header.SetContentType("application/json")
 	req.SetRequestURI("http://" + o.Address + "/orders")
 	req.SetBodyRaw(raw)
+	if n.dialled.count() > n.cfg.CommandSockets() {
+		req.SetConnectionClose()
+	}
 	switch err := n.workers.DoTimeout(req, res, 3*time.Second); {
 	case errors.Is(err, errDial):
 		done.Status = block.NotSent
