Plans go on while machines are lost or the cloud is away; scenarios of large failures

Cause, found by the scenario of a cut zone: while any machine was to be given up, and while four rentals had no answer, no plan was made: what was shunned stayed shunned beside waiting tasks, and nothing was rented for what had been lost. Now the plan is made each second; only its rentals wait, and ordinary machines serve while the cloud does not answer.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -59,6 +59,7 @@
 	rec   FleetRecord
 	busy  bool // a write or a request is under way
 	asked clock.Micros
+	since clock.Micros // when it was first wanted here
 	// when machines that are gone were last taken out of its record
 	tidied clock.Micros
 }
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -8,6 +8,7 @@
 	"swiftledge/internal/block"
 	"swiftledge/internal/clock"
 	"swiftledge/internal/config"
+	"swiftledge/internal/fleet"
 	"swiftledge/internal/peer"
 	"swiftledge/internal/store"
 	"swiftledge/wire"
@@ -183,3 +184,19 @@
 		t.Error("the deleted machine, and no other, must leave the books")
 	}
 }
+
+// Ordinary machines that the queue is not worth get no work, so that they can be
+// returned; while the cloud answers nothing they serve like those at rest, or all would
+// wait beside idle machines.
+func TestOrdinaryMachinesServeWhileTheCloudIsAway(t *testing.T) {
+	b := &lblock{state: granted}
+	m := &machine{name: "m", block: b}
+	l := &Leader{machines: map[string]*machine{"m": m}}
+	d := fleet.Decision{Shun: []string{"m"}}
+	if l.rest(d, false); !m.shun || m.rest {
+		t.Errorf("shunned %v, at rest %v; want shunned", m.shun, m.rest)
+	}
+	if l.rest(d, true); m.shun || !m.rest {
+		t.Errorf("shunned %v, at rest %v while the cloud is away; want at rest", m.shun, m.rest)
+	}
+}
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -15,7 +15,7 @@
 type fleetTag struct{ key string }
 
 func (l *Leader) loadRental(now clock.Micros, it wire.Item, r FleetRecord) {
-	rt := &rental{key: it.Key, stamp: it.Version, rec: r}
+	rt := &rental{key: it.Key, stamp: it.Version, rec: r, since: now}
 	l.rentals[it.Key] = rt
 	if !r.Asked {
 		// The answer was lost with a former leader; the same name gives the same machines.
@@ -178,18 +178,24 @@
 			l.tidyRental(now, rt)
 		}
 	}
+	// While many machines are lost, or the cloud answers nothing, those that live are
+	// planned with all the same.
 	doomed := l.doomed(now)
-	if len(doomed) == 0 && pending < 4 && now-l.lastPlan >= clock.Second {
+	for _, name := range doomed {
+		l.machines[name].deleting = true
+	}
+	if now-l.lastPlan >= clock.Second {
 		l.lastPlan = now
-		doomed = l.plan(now)
+		doomed = append(doomed, l.plan(now, pending < 4)...)
 	}
+	sent := 0
 	if len(doomed) > 0 && l.deleting < 3 {
-		doomed = doomed[:min(len(doomed), 100)]
+		sent = min(len(doomed), 100)
 		l.deleting++
-		for _, name := range doomed {
-			l.machines[name].deleting = true
-		}
-		l.emit(Delete{l.epoch, doomed})
+		l.emit(Delete{l.epoch, doomed[:sent]})
+	}
+	for i, name := range doomed {
+		l.machines[name].deleting = i < sent
 	}
 }
 
@@ -374,8 +380,8 @@
 	return out
 }
 
-// plan rents what the queues need and names idle machines to return.
-func (l *Leader) plan(now clock.Micros) []string {
+// plan rents what the queues need, if it may, and names idle machines to return.
+func (l *Leader) plan(now clock.Micros, rent bool) []string {
 	byShape := map[shape]*fleet.Need{}
 	var needs []*fleet.Need
 	room := map[string]float64{}
@@ -425,8 +431,10 @@
 		}
 		supply = append(supply, s)
 	}
+	stuck := false
 	for _, rt := range l.rentals {
 		if !rt.rec.Asked {
+			stuck = stuck || now-rt.since > stuckAfter
 			for range rt.rec.Rental.Count {
 				supply = append(supply, fleet.Supply{Option: l.option(rt.rec.Rental)})
 			}
@@ -441,27 +449,35 @@
 	tune := l.cfg.Tuning.Fleet
 	d := fleet.Plan(flat, supply, opts, fleet.Params{SpotClearS: tune.SpotClearS, OrdinaryClearS: tune.OrdinaryClearS, Reserve: tune.Reserve},
 		func(o fleet.Option) bool { return now >= l.refused[o.Key()].until })
-	l.rest(d)
+	l.rest(d, stuck)
 	l.stirred = true // what is shunned no more has room again
+	if !rent {
+		return d.Return
+	}
 	for _, o := range d.Rent {
 		l.rentSeq++
 		req := fmt.Sprintf("r-%d-%d", l.epoch, l.rentSeq)
-		rt := &rental{key: FleetPrefix + req, rec: FleetRecord{Rental: wire.Rental{Request: req, Type: o.Type.Name, Zone: o.Zone, Spot: o.Spot, Count: o.Count}}}
+		rt := &rental{key: FleetPrefix + req, since: now, rec: FleetRecord{Rental: wire.Rental{Request: req, Type: o.Type.Name, Zone: o.Zone, Spot: o.Spot, Count: o.Count}}}
 		l.rentals[rt.key] = rt
 		l.writeRental(rt)
 	}
 	return d.Return
 }
 
+// stuckAfter is how long a rental is without an answer before the cloud counts as away.
+const stuckAfter = 10 * clock.Second
+
 // rest tells the holders which machines their auctions are to leave out. Those not
 // worth their price get no work at all; those that are only more than needed get it
 // again as soon as the others have no room.
-func (l *Leader) rest(d fleet.Decision) {
+//
+// While the cloud does not answer, nothing cheaper comes: what is there serves, too.
+func (l *Leader) rest(d fleet.Decision, stuck bool) {
 	for _, m := range l.machines {
 		m.shun, m.rest = false, false
 	}
 	for _, name := range d.Shun {
-		l.machines[name].shun = true
+		l.machines[name].shun, l.machines[name].rest = !stuck, stuck
 	}
 	for _, name := range d.Rest {
 		l.machines[name].rest = true
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -167,7 +167,12 @@
 			n.blind = d.HasArg("blind")
 			n.loseAnswers = arg(t, d, "lose", 0)
 			n.holdUntil = w.now + span(t, d, "hold")
+			n.frozenUntil = w.now + span(t, d, "frozen")
 		}
+	case "cloud":
+		w.cloudDown = d.HasArg("down")
+	case "zone":
+		w.cutZone, w.cutUntil = arg(t, d, "name", ""), w.now+span(t, d, "cut")
 	case "store":
 		if d.HasArg("down") {
 			w.store.Down = true
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -72,6 +72,16 @@
 	begun   map[string]clock.Micros // when its first task ran
 	stop    context.CancelFunc
 	ctx     context.Context
+	// A zone that is cut off from everything; what is sent meanwhile comes at the end.
+	cutZone  string
+	cutUntil clock.Micros
+	// The cloud answers 503 to everything.
+	cloudDown bool
+}
+
+// apart says whether the cut zone lies between two places; "" is the region.
+func (w *world) apart(a, b string) bool {
+	return w.now < w.cutUntil && (a == w.cutZone) != (b == w.cutZone)
 }
 
 // held is a task on a machine.
@@ -91,6 +101,7 @@
 	blind       bool // from the workers
 	loseAnswers int  // of the state service, while the requests are carried out
 	holdUntil   clock.Micros
+	frozenUntil clock.Micros // it stands still while its clocks run on
 	cfg         config.Config
 	elector     *election.Elector
 	leader      *leader.Leader
@@ -147,6 +158,7 @@
 	for i := range cfg.Facts.InitialSize {
 		n := &simNode{w: w, i: i, name: fmt.Sprintf("n%d", i), cfg: cfg}
 		n.cfg.Name = n.name
+		n.cfg.Zone = cfg.Facts.Zones[i%len(cfg.Facts.Zones)]
 		for k := range cfg.Facts.InitialSize {
 			if k != i {
 				n.cfg.Peers = append(n.cfg.Peers, config.Peer{Name: fmt.Sprintf("n%d", k)})
@@ -312,11 +324,11 @@
 	w.after(4*clock.Second, func() { next((s.target+1)%len(w.nodes), clock.Second) })
 	s.again(w, func() {
 		// Whichever controller it reaches, nobody waits for the answer.
-		if o := w.nodes[w.rng.IntN(len(w.nodes))]; o.alive && !o.blind {
-			o.holderStep(block.Report{R: r, Tag: func(block.Answer) {}})
+		if o := w.nodes[w.rng.IntN(len(w.nodes))]; o.alive && !o.blind && !w.apart(s.Zone, o.cfg.Zone) {
+			o.still(func() { o.holderStep(block.Report{R: r, Tag: func(block.Answer) {}}) })()
 		}
 	})
-	s.deliver(w, func() {
+	s.deliver(w, n, func() {
 		if !n.alive {
 			next((s.target+1)%len(w.nodes), clock.Second)
 			return
@@ -324,37 +336,41 @@
 		if n.blind {
 			return
 		}
-		n.holderStep(block.Report{R: r, Tag: func(a block.Answer) {
-			s.deliver(w, func() {
-				if settled || s.dead || s.deaf {
-					return
-				}
-				switch {
-				case a.Status == 200:
-					settled, s.busy = true, false
-					if s.Answered(w.now, sent, session, a.Body) {
-						s.changed(w)
+		n.still(func() {
+			n.holderStep(block.Report{R: r, Tag: func(a block.Answer) {
+				s.deliver(w, n, func() {
+					if settled || s.dead || s.deaf {
+						return
 					}
-				case a.Status == 421 && a.Redirect.ReportTo != "":
-					for i, o := range w.nodes {
-						if o.name == a.Redirect.ReportTo && i != s.target {
-							next(i, 100*clock.Millisecond)
-							return
+					switch {
+					case a.Status == 200:
+						settled, s.busy = true, false
+						if s.Answered(w.now, sent, session, a.Body) {
+							s.changed(w)
 						}
+					case a.Status == 421 && a.Redirect.ReportTo != "":
+						for i, o := range w.nodes {
+							if o.name == a.Redirect.ReportTo && i != s.target {
+								next(i, 100*clock.Millisecond)
+								return
+							}
+						}
+						next((s.target+1)%len(w.nodes), clock.Second)
+					default:
+						next((s.target+1)%len(w.nodes), clock.Second)
 					}
-					next((s.target+1)%len(w.nodes), clock.Second)
-				default:
-					next((s.target+1)%len(w.nodes), clock.Second)
-				}
-			})
-		}})
+				})
+			}})
+		})()
 	})
 }
 
 // deliver carries a message to or from the machine: never while it is cut, late while it is held.
-func (s *simWorker) deliver(w *world, f func()) {
+func (s *simWorker) deliver(w *world, n *simNode, f func()) {
 	d := w.lat()
 	switch {
+	case w.apart(s.Zone, n.cfg.Zone):
+		d += w.cutUntil - w.now
 	case s.holdUntil > w.now:
 		d += s.holdUntil - w.now
 	case s.cut:
@@ -378,9 +394,9 @@
 
 func (n *simNode) start() {
 	n.gen++
-	n.alive = true
+	n.alive, n.frozenUntil = true, 0
 	n.epoch, n.link, n.leaderRev, n.jobEpoch = 0, nil, 0, 0
-	ok := func() bool { return !n.refused && !n.w.store.Down }
+	ok := n.reaches
 	n.elector = election.New(election.Record{Node: n.name, Run: uint64(n.gen)*100 + uint64(n.i)}, clock.FromSeconds(n.cfg.Tuning.Election.TTLS))
 	n.leader = leader.New(&n.cfg, ok)
 	n.holder = block.FromConfig(&n.cfg, ok)
@@ -405,14 +421,25 @@
 func (n *simNode) still(f func()) func() {
 	gen := n.gen
 	return func() {
-		if n.alive && n.gen == gen {
-			f()
-		}
+		n.awake(func() {
+			if n.alive && n.gen == gen {
+				f()
+			}
+		})
+	}
+}
+
+// awake runs f, or when the process goes on again if it stands still.
+func (n *simNode) awake(f func()) {
+	if n.frozenUntil > n.w.now {
+		n.w.after(n.frozenUntil-n.w.now, func() { n.awake(f) })
+		return
 	}
+	f()
 }
 
 func (n *simNode) tick() {
-	if !n.alive {
+	if !n.alive || n.frozenUntil > n.w.now {
 		return
 	}
 	if n.reaches() {
@@ -451,16 +478,22 @@
 	}
 }
 
-func (n *simNode) reaches() bool { return !n.refused && !n.w.store.Down }
+func (n *simNode) reaches() bool {
+	return !n.refused && !n.w.store.Down && !n.w.apart(n.cfg.Zone, "")
+}
 
 // ask carries a request to the state service and its answer back.
 func (n *simNode) ask(f func(), answer func(err error)) {
 	w := n.w
 	w.after(w.lat(), func() {
+		until := n.holdUntil
+		if w.apart(n.cfg.Zone, "") {
+			until = w.cutUntil
+		}
 		switch {
-		case n.holdUntil > w.now:
+		case until > w.now:
 			// Held on the way: carried out long after the sender gave up.
-			w.after(n.holdUntil-w.now, func() {
+			w.after(until-w.now, func() {
 				if !w.store.Down {
 					f()
 				}
@@ -615,11 +648,12 @@
 		}
 		i := slices.IndexFunc(w.nodes, func(o *simNode) bool { return o.name == name })
 		to := w.nodes[i]
-		if to.alive && !to.cut && !n.cut && to != n {
+		away := to != n && (to.cut || n.cut || to.frozenUntil > w.now || w.apart(n.cfg.Zone, to.cfg.Zone))
+		if to.alive && !away && to != n {
 			n.desk.Post(api.Met{})
 			to.desk.Post(api.Met{})
 		}
-		if !to.alive || to.elector.Epoch() != epoch || (to != n && (to.cut || n.cut)) {
+		if !to.alive || to.elector.Epoch() != epoch || away {
 			w.after(300*clock.Millisecond, n.still(func() { n.follow(epoch, name) }))
 			return
 		}
@@ -640,29 +674,36 @@
 	}
 	l.broken = true
 	f, to := l.follower, l.leader
-	if to.alive && to.gen == l.lgen {
-		to.leaderStep(leader.Left{Node: f.name, Link: l})
-	}
-	if f.alive && f.gen == l.fgen && f.link == l {
-		f.link = nil
-		f.holderStep(block.Unlinked{Epoch: l.epoch})
-		if f.epoch == l.epoch {
-			f.follow(l.epoch, to.name)
+	to.awake(func() {
+		if to.alive && to.gen == l.lgen {
+			to.leaderStep(leader.Left{Node: f.name, Link: l})
 		}
-	}
+	})
+	f.awake(func() {
+		if f.alive && f.gen == l.fgen && f.link == l {
+			f.link = nil
+			f.holderStep(block.Unlinked{Epoch: l.epoch})
+			if f.epoch == l.epoch {
+				f.follow(l.epoch, to.name)
+			}
+		}
+	})
 }
 
-// carry brings a message over the link; a cut one breaks after a while.
-func (l *simLink) carry(f func()) {
+// carry brings a message to one end of the link; a cut one breaks after a while, and so
+// does one whose other end stands still.
+func (l *simLink) carry(to *simNode, f func()) {
 	w := l.follower.w
-	if l.follower != l.leader && (l.follower.cut || l.leader.cut) {
+	if l.follower != l.leader && (l.follower.cut || l.leader.cut || to.frozenUntil > w.now || w.apart(l.follower.cfg.Zone, l.leader.cfg.Zone)) {
 		w.after(4*clock.Second, l.end)
 		return
 	}
 	w.after(w.lat(), func() {
-		if !l.broken && l.follower.alive && l.leader.alive && l.follower.gen == l.fgen && l.leader.gen == l.lgen {
-			f()
-		}
+		to.awake(func() {
+			if !l.broken && l.follower.alive && l.leader.alive && l.follower.gen == l.fgen && l.leader.gen == l.lgen {
+				f()
+			}
+		})
 	})
 }
 
@@ -676,7 +717,7 @@
 	switch x := fx.(type) {
 	case block.Send:
 		if l := n.link; l != nil {
-			l.carry(func() { l.leader.leaderStep(leader.Said{Node: n.name, Link: l, Up: &x.Up}) })
+			l.carry(l.leader, func() { l.leader.leaderStep(leader.Said{Node: n.name, Link: l, Up: &x.Up}) })
 		}
 	case block.Answer:
 		x.Tag.(func(block.Answer))(x)
@@ -700,12 +741,12 @@
 	if s == nil || s.dead || n.blind || s.cut {
 		return
 	}
-	s.deliver(n.w, func() {
+	s.deliver(n.w, n, func() {
 		if s.dead || s.deaf {
 			return
 		}
 		r := s.Report()
-		s.deliver(n.w, n.still(func() { n.holderStep(block.Inspected{Inspect: x, R: r}) }))
+		s.deliver(n.w, n, n.still(func() { n.holderStep(block.Inspected{Inspect: x, R: r}) }))
 	})
 }
 
@@ -730,7 +771,7 @@
 			s.Orders(w.now, o.Body)
 		}
 	})
-	s.deliver(w, func() {
+	s.deliver(w, n, func() {
 		if s.dead || s.deaf {
 			return
 		}
@@ -738,7 +779,7 @@
 		if changed {
 			s.changed(w)
 		}
-		s.deliver(w, n.still(func() {
+		s.deliver(w, n, n.still(func() {
 			if !settled {
 				settled = true
 				done.Status, done.R = status, r
@@ -754,15 +795,23 @@
 	}
 }
 
+var errTrouble = errors.New("trouble")
+
 func (n *simNode) leaderEffect(fx any) {
 	w := n.w
 	during := func(epoch uint64) func() bool { return func() bool { return n.elector.Epoch() == epoch } }
 	// The cloud answers within a quarter of a second, also a leader that is none any more.
-	cloud := func(f func()) { w.after(100*clock.Millisecond, n.still(f)) }
+	cloud := func(f func()) {
+		w.after(100*clock.Millisecond, func() {
+			if !w.apart(n.cfg.Zone, "") {
+				n.still(f)()
+			}
+		})
+	}
 	switch x := fx.(type) {
 	case leader.Tell:
 		l := x.Link.(*simLink)
-		l.carry(func() {
+		l.carry(l.follower, func() {
 			l.follower.desk.Post(api.Met{})
 			l.leader.desk.Post(api.Met{})
 			l.follower.desk.Post(&x.Down)
@@ -780,6 +829,10 @@
 		n.readKey(x)
 	case leader.Rent:
 		cloud(func() {
+			if w.cloudDown {
+				n.leaderStep(leader.Rented{Epoch: x.Epoch, Request: x.Rental.Request, Err: errTrouble})
+				return
+			}
 			names, ok := w.cloud.Rent(w.now, x.Rental)
 			m := leader.Rented{Epoch: x.Epoch, Request: x.Rental.Request, Machines: names, NoCapacity: !ok}
 			if !ok {
@@ -789,11 +842,19 @@
 		})
 	case leader.Delete:
 		cloud(func() {
+			if w.cloudDown {
+				n.leaderStep(leader.Deleted{Epoch: x.Epoch, Machines: x.Machines, Err: errTrouble})
+				return
+			}
 			w.cloud.Delete(x.Machines)
 			n.leaderStep(leader.Deleted{Epoch: x.Epoch, Machines: x.Machines})
 		})
 	case leader.List:
-		cloud(func() { n.leaderStep(leader.Listed{Machines: w.cloud.List(w.now)}) })
+		cloud(func() {
+			if !w.cloudDown {
+				n.leaderStep(leader.Listed{Machines: w.cloud.List(w.now)})
+			}
+		})
 	case leader.ReadCatalog:
 		cloud(func() { n.leaderStep(leader.CatalogRead{Types: w.cloud.Types}) })
 	case leader.Resign:
