--- a/internal/block/holder_test.go
+++ b/internal/block/holder_test.go
@@ -381,3 +381,22 @@
 		}
 	}
 }
+
+// What a report costs must not grow with the number of machines: hundreds come a second.
+func TestReportCostsTheSameHoweverManyMachines(t *testing.T) {
+	cost := func(machines int) float64 {
+		h := holding(t)
+		for i := range machines {
+			h.Step(now, beat("x"+strconv.Itoa(i), 1, 50))
+		}
+		h.Step(later(1), Tick{}) // the leader is told of them all
+		seq := uint64(1)
+		return testing.AllocsPerRun(100, func() {
+			seq++
+			h.Step(later(1), beat("x3", seq, 50))
+		})
+	}
+	if few, many := cost(10), cost(2000); many > few+1 {
+		t.Errorf("%.0f allocations a report with 2000 machines, %.0f with 10", many, few)
+	}
+}
