Auctions interleave the groups, so that a machine fetches few images at once

Cause: each auction took one group after the other, one task a machine, so that a machine with four places got tasks of four jobs and fetched four images at a shared rate (13 to 35 s on the smallest type). Now each auction has its share of every group, and the fallback counts what a machine fetches like what it holds.

--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -441,6 +441,7 @@
 		pm.Memory -= r.group.Memory
 		if !r.running {
 			pm.Unstarted++
+			pm.Fetches = append(pm.Fetches, r.group.Image)
 		}
 	}
 	m.free = pm
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -3,6 +3,7 @@
 package placement
 
 import (
+	"cmp"
 	"container/heap"
 	"math"
 	"slices"
@@ -80,7 +81,8 @@
 	Spot               bool
 	CPUs, GPUs, Memory float64 // free
 	Unstarted          int
-	Images             *Cache // what it is known to hold; nil: nothing
+	Images             *Cache   // what it is known to hold; nil: nothing
+	Fetches            []string // images that its unstarted tasks wait for
 }
 
 // Cache is what is known of the images that a machine holds: those used there, the
@@ -151,12 +153,7 @@
 	if len(machines) == 0 {
 		return nil // room that was offered may be gone by now; an auction without seats never ends
 	}
-	var tasks []bidder
-	for _, g := range groups {
-		for _, i := range g.Indexes {
-			tasks = append(tasks, bidder{g, i, -1})
-		}
-	}
+	tasks := interleaved(groups)
 	c := newCycle(machines, b, p, now)
 	var out []Match
 	for len(tasks) > 0 {
@@ -175,6 +172,7 @@
 			m.Memory -= t.g.Memory
 			m.Unstarted++
 			b.Visit(t.g.Image, m.Name, now)
+			c.holders(t.g.Image)[t.at] = true
 			out = append(out, Match{t.g, t.index, m})
 		}
 		// Room only shrinks: a group that fits nowhere now never will.
@@ -202,7 +200,29 @@
 	now      clock.Micros
 	owner    []int // of each machine: who bids highest; -1: nobody
 	price    []float64
-	cached   map[string][]bool // by image: which machines are known to hold it
+	cached   map[string][]bool // by image: which machines are known to hold or fetch it
+}
+
+// interleaved are the groups' tasks, so that each auction has its share of every group.
+// One group after the other would give each machine a task of each: several images to
+// fetch at once where one would have done.
+func interleaved(groups []*Group) []bidder {
+	type place struct {
+		bidder
+		at float64 // within its group
+	}
+	var all []place
+	for _, g := range groups {
+		for k, i := range g.Indexes {
+			all = append(all, place{bidder{g, i, -1}, (float64(k) + 0.5) / float64(len(g.Indexes))})
+		}
+	}
+	slices.SortStableFunc(all, func(a, b place) int { return cmp.Compare(a.at, b.at) })
+	out := make([]bidder, len(all))
+	for i, p := range all {
+		out[i] = p.bidder
+	}
+	return out
 }
 
 func newCycle(machines []*Machine, b *Book, p Params, now clock.Micros) *cycle {
@@ -348,7 +368,7 @@
 }
 
 // seats is a heap, the best fallback first: the fewest unstarted tasks; among these one
-// that is known to hold the image, so that it is not fetched; then the fullest.
+// that is known to hold or fetch the image, so that it is not fetched again; then the fullest.
 type seats []seat
 
 func (s seats) Len() int { return len(s) }
@@ -373,16 +393,22 @@
 	return x
 }
 
-// seats are the machines that a group fits on and nobody owns.
-func (c *cycle) seats(g *Group) *seats {
-	has, ok := c.cached[g.Image]
+// holders says which machines have an image or fetch it already.
+func (c *cycle) holders(image string) []bool {
+	has, ok := c.cached[image]
 	if !ok {
 		has = make([]bool, len(c.machines))
 		for j, m := range c.machines {
-			has[j] = m.Images.Has(g.Image)
+			has[j] = m.Images.Has(image) || slices.Contains(m.Fetches, image)
 		}
-		c.cached[g.Image] = has
+		c.cached[image] = has
 	}
+	return has
+}
+
+// seats are the machines that a group fits on and nobody owns.
+func (c *cycle) seats(g *Group) *seats {
+	has := c.holders(g.Image)
 	out := make(seats, 0, len(c.machines))
 	for j, m := range c.machines {
 		if c.owner[j] < 0 && g.Fits(m) {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -174,3 +174,34 @@
 		t.Errorf("holds %v, want a and c", c.names)
 	}
 }
+
+// Tasks with different images that come together are given to different machines as far
+// as that is possible: several fetches at once share a machine's rate.
+func TestCycleKeepsImagesTogether(t *testing.T) {
+	var gs []*Group
+	for _, image := range []string{"x", "y", "z", "w"} {
+		g := &Group{Key: image, Image: image, CPUs: 1, Memory: 1}
+		for i := range 16 {
+			g.Indexes = append(g.Indexes, i)
+		}
+		gs = append(gs, g)
+	}
+	images := map[string]map[string]bool{}
+	got := Cycle(gs, machines(16, 4), NewBook(), params, 0)
+	if len(got) != 64 {
+		t.Fatalf("%d tasks placed, want 64", len(got))
+	}
+	fetches := 0
+	for _, m := range got {
+		if images[m.Machine.Name] == nil {
+			images[m.Machine.Name] = map[string]bool{}
+		}
+		if !images[m.Machine.Name][m.Group.Image] {
+			images[m.Machine.Name][m.Group.Image] = true
+			fetches++
+		}
+	}
+	if fetches > 20 {
+		t.Errorf("%d fetches on 16 machines", fetches)
+	}
+}
