--- a/internal/leader/grants.go
+++ b/internal/leader/grants.go
@@ -147,8 +147,9 @@
 }
 
 // reportCost is about what one worker's report takes of a core, all that follows from
-// it included.
-const reportCost = 0.001
+// it and the reports of changes included: 1,752 machines that report every 5 s took the
+// three controllers 0.24 of a core.
+const reportCost = 0.0007
 
 // mostBlocks is how many blocks a controller takes at once when others are out of
 // touch: it must be able to answer the workers of all. More would make it late with
