--- /dev/null
+++ b/internal/election/election_test.go
@@ -0,0 +1,52 @@
+package election
+
+import (
+	"testing"
+
+	"swiftledge/internal/clock"
+	"swiftledge/internal/store"
+)
+
+// leads says whether an effect begins an epoch of ours, and which.
+func leads(fx []any) uint64 {
+	for _, f := range fx {
+		if l, ok := f.(Lead); ok {
+			return l.Epoch
+		}
+	}
+	return 0
+}
+
+// A process that is back within a fraction of a second, with a claim whose answer was
+// lost, may find the key that its former run wrote: that epoch is not this run's, whose
+// leader knows nothing of it. Its own claim, carried out after all, is.
+func TestFormerRunsEpochIsNotOurs(t *testing.T) {
+	me := Record{Node: "n0", Run: 2}
+	e := New(me, 3*clock.Second)
+	e.Step(0, Seen{Revision: 5})
+	e.Step(1000, Leased{Lease: 9, Sent: 500})
+	e.Step(2000, Claimed{Lease: 9, Err: store.ErrUnknown})
+	if got := leads(e.Step(3000, Seen{Version: 6, Record: Record{Node: "n0", Run: 1}, Revision: 6})); got != 0 {
+		t.Errorf("leads epoch %d, which a former run has won", got)
+	}
+	if e.Epoch() != 0 {
+		t.Error("holds an epoch")
+	}
+	if got := leads(e.Step(4000, Seen{Version: 8, Record: me, Revision: 8})); got != 8 {
+		t.Errorf("leads epoch %d, want 8, its own lost claim", got)
+	}
+}
+
+// A controller that stood still wakes with its authority gone, whatever it is told first.
+func TestAuthorityEndsWhileStandingStill(t *testing.T) {
+	e := New(Record{Node: "n0", Run: 1}, 3*clock.Second)
+	e.Step(0, Seen{Revision: 5})
+	e.Step(1000, Leased{Lease: 9, Sent: 500})
+	if got := leads(e.Step(2000, Claimed{Lease: 9, Outcome: store.Outcome{OK: true, Revision: 6}})); got != 6 {
+		t.Fatalf("leads epoch %d, want 6", got)
+	}
+	fx := e.Step(30*clock.Second, Renewed{Lease: 9, Sent: 1 * clock.Second})
+	if _, ok := fx[0].(Depose); !ok || e.Epoch() != 0 {
+		t.Errorf("first effect %T, epoch %d: want the epoch given up", fx[0], e.Epoch())
+	}
+}
