--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -34,14 +34,12 @@
 	wall    func() clock.Micros // time of day
 	log     *slog.Logger
 	form    formChecker
-	most    int // connections at once
 	app     *fiber.App
 }
 
 // New makes the service; report answers a worker.
 func New(cfg *config.Config, s Store, pause func(context.Context, int) bool, d *Desk, storeOK func() bool, report func(*wire.Report) block.Answer, wall func() clock.Micros, log *slog.Logger) *Service {
-	return &Service{cfg: cfg, store: s, pause: pause, desk: d, storeOK: storeOK, report: report, wall: wall, log: log, form: newFormChecker(),
-		most: cfg.HTTPSockets()}
+	return &Service{cfg: cfg, store: s, pause: pause, desk: d, storeOK: storeOK, report: report, wall: wall, log: log, form: newFormChecker()}
 }
 
 // Serve answers on l until it fails.
@@ -58,7 +56,7 @@
 		BodyLimit:    maxBody,
 		IdleTimeout:  90 * time.Second,
 		ReadTimeout:  60 * time.Second,
-		Concurrency:  s.most,
+		Concurrency:  s.cfg.HTTPSockets(),
 		ErrorHandler: problem,
 		JSONEncoder:  json.Marshal,
 		JSONDecoder:  json.Unmarshal,
@@ -74,7 +72,7 @@
 // crowded says whether workers are to give their connections up after each answer:
 // they come every few seconds, and must not keep users and health probes out.
 func (s *Service) crowded() bool {
-	return int(s.app.Server().GetOpenConnectionsCount()) > s.most*9/10
+	return int(s.app.Server().GetOpenConnectionsCount()) > s.cfg.HTTPSockets()*9/10
 }
 
 func problem(c fiber.Ctx, err error) error {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -59,17 +59,8 @@
 	}
 }
 
-// Affinity is Eq. 2 with the design's alpha: 1 on a listed machine, decayed.
-func (b *Book) Affinity(image string, m *Machine, k float64, now clock.Micros) float64 {
-	for _, v := range b.images[image] {
-		if v.machine == m.Name {
-			return b.decayed(v, m, k, now)
-		}
-	}
-	return 0
-}
-
-// decayed is the affinity that is left of a visit to a machine.
+// decayed is Eq. 2 with the design's alpha: affinity is 1 on a listed machine, and this is
+// what is left of it.
 func (b *Book) decayed(v visit, m *Machine, k float64, now clock.Micros) float64 {
 	alpha := float64(m.Unstarted+b.runs[m.Name]-v.run) * k
 	return math.Exp(-alpha * max(0, (now-v.at).Seconds()))
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -9,13 +9,23 @@
 	"swiftledge/internal/clock"
 )
 
+// affinity is 0 on a machine that an image has not visited lately.
+func affinity(b *Book, image string, m *Machine, k float64, now clock.Micros) float64 {
+	for _, v := range b.images[image] {
+		if v.machine == m.Name {
+			return b.decayed(v, m, k, now)
+		}
+	}
+	return 0
+}
+
 // weights of one auction, as Eq. 4 gives them; 0 where there is no edge.
 func weights(tasks []bidder, ms []*Machine, b *Book, p Params, now clock.Micros) [][]float64 {
 	out := make([][]float64, len(tasks))
 	for i, t := range tasks {
 		out[i] = make([]float64, len(ms))
 		for j, m := range ms {
-			if s := b.Affinity(t.g.Image, m, p.K, now); t.g.Fits(m) && s > p.Eta {
+			if s := affinity(b, t.g.Image, m, p.K, now); t.g.Fits(m) && s > p.Eta {
 				out[i][j] = s / (float64(m.Unstarted) + p.Small)
 			}
 		}
@@ -119,11 +129,11 @@
 		t.Errorf("placed %v, want m1", got)
 	}
 	m := &Machine{Name: "m1", Unstarted: 10}
-	early, late := b.Affinity("x", m, params.K, clock.Second), b.Affinity("x", m, params.K, 100*clock.Second)
+	early, late := affinity(b, "x", m, params.K, clock.Second), affinity(b, "x", m, params.K, 100*clock.Second)
 	if !(early > late && late > 0) {
 		t.Errorf("affinity %v, then %v: want decay", early, late)
 	}
-	if b.Affinity("x", &Machine{Name: "m2"}, params.K, 0) != 0 {
+	if affinity(b, "x", &Machine{Name: "m2"}, params.K, 0) != 0 {
 		t.Error("a machine that never had the image has affinity")
 	}
 }
@@ -135,11 +145,11 @@
 	}
 	n := 0
 	for i := range 15 {
-		if b.Affinity("x", &Machine{Name: fmt.Sprint("m", i)}, 0, 100) > 0 {
+		if affinity(b, "x", &Machine{Name: fmt.Sprint("m", i)}, 0, 100) > 0 {
 			n++
 		}
 	}
-	if n != visits || b.Affinity("x", &Machine{Name: "m4"}, 0, 100) != 0 {
+	if n != visits || affinity(b, "x", &Machine{Name: "m4"}, 0, 100) != 0 {
 		t.Errorf("%d machines listed, want the %d latest", n, visits)
 	}
 }
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -438,6 +438,11 @@
 	f()
 }
 
+// away says whether another controller's messages do not reach this one now.
+func (n *simNode) away(from *simNode) bool {
+	return n != from && (n.cut || from.cut || n.frozenUntil > n.w.now || n.w.apart(n.cfg.Zone, from.cfg.Zone))
+}
+
 func (n *simNode) tick() {
 	if !n.alive || n.frozenUntil > n.w.now {
 		return
@@ -648,7 +653,7 @@
 		}
 		i := slices.IndexFunc(w.nodes, func(o *simNode) bool { return o.name == name })
 		to := w.nodes[i]
-		away := to != n && (to.cut || n.cut || to.frozenUntil > w.now || w.apart(n.cfg.Zone, to.cfg.Zone))
+		away := to.away(n)
 		if to.alive && !away && to != n {
 			n.desk.Post(api.Met{})
 			to.desk.Post(api.Met{})
@@ -694,7 +699,11 @@
 // does one whose other end stands still.
 func (l *simLink) carry(to *simNode, f func()) {
 	w := l.follower.w
-	if l.follower != l.leader && (l.follower.cut || l.leader.cut || to.frozenUntil > w.now || w.apart(l.follower.cfg.Zone, l.leader.cfg.Zone)) {
+	from := l.follower
+	if to == from {
+		from = l.leader
+	}
+	if to.away(from) {
 		w.after(4*clock.Second, l.end)
 		return
 	}
@@ -801,13 +810,18 @@
 	w := n.w
 	during := func(epoch uint64) func() bool { return func() bool { return n.elector.Epoch() == epoch } }
 	// The cloud answers within a quarter of a second, also a leader that is none any more.
-	cloud := func(f func()) {
+	cloud := func(f, fails func()) {
 		w.after(100*clock.Millisecond, func() {
-			if !w.apart(n.cfg.Zone, "") {
+			switch {
+			case w.apart(n.cfg.Zone, ""):
+			case w.cloudDown:
+				n.still(fails)()
+			default:
 				n.still(f)()
 			}
 		})
 	}
+	unheard := func() {}
 	switch x := fx.(type) {
 	case leader.Tell:
 		l := x.Link.(*simLink)
@@ -829,34 +843,26 @@
 		n.readKey(x)
 	case leader.Rent:
 		cloud(func() {
-			if w.cloudDown {
-				n.leaderStep(leader.Rented{Epoch: x.Epoch, Request: x.Rental.Request, Err: errTrouble})
-				return
-			}
 			names, ok := w.cloud.Rent(w.now, x.Rental)
 			m := leader.Rented{Epoch: x.Epoch, Request: x.Rental.Request, Machines: names, NoCapacity: !ok}
 			if !ok {
 				m.Err = errors.New("no capacity")
 			}
 			n.leaderStep(m)
+		}, func() {
+			n.leaderStep(leader.Rented{Epoch: x.Epoch, Request: x.Rental.Request, Err: errTrouble})
 		})
 	case leader.Delete:
 		cloud(func() {
-			if w.cloudDown {
-				n.leaderStep(leader.Deleted{Epoch: x.Epoch, Machines: x.Machines, Err: errTrouble})
-				return
-			}
 			w.cloud.Delete(x.Machines)
 			n.leaderStep(leader.Deleted{Epoch: x.Epoch, Machines: x.Machines})
+		}, func() {
+			n.leaderStep(leader.Deleted{Epoch: x.Epoch, Machines: x.Machines, Err: errTrouble})
 		})
 	case leader.List:
-		cloud(func() {
-			if !w.cloudDown {
-				n.leaderStep(leader.Listed{Machines: w.cloud.List(w.now)})
-			}
-		})
+		cloud(func() { n.leaderStep(leader.Listed{Machines: w.cloud.List(w.now)}) }, unheard)
 	case leader.ReadCatalog:
-		cloud(func() { n.leaderStep(leader.CatalogRead{Types: w.cloud.Types}) })
+		cloud(func() { n.leaderStep(leader.CatalogRead{Types: w.cloud.Types}) }, unheard)
 	case leader.Resign:
 		w.after(1, n.still(func() { n.electorStep(election.Resign{Epoch: n.elector.Epoch()}) }))
 	case leader.Log:
