Services that stand: accepted, kept up, room made and kept for them; values fit both limits

A service is one property of a job, followed through the existing paths. Room for services that come while a machine would boot is rented ahead. Values and transactions fit the smaller of both limits from the start; progress shelves of the old size move to others.

--- a/internal/api/jobs.go
+++ b/internal/api/jobs.go
@@ -106,7 +106,7 @@
 	if err != nil {
 		return refuse(400, err.Error())
 	}
-	if float64(len(raw)) > s.cfg.Facts.State.ValueKB*1024 {
+	if len(raw) > s.cfg.ValueMax() {
 		return s.known(job.Ref, refuse(400, "the job is too large to store"))
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), submitWithin)
@@ -164,6 +164,10 @@
 	if j.CPUs > team.CPUsMax || j.GPUs > team.GPUsMax {
 		return "one task needs more than the team's limit"
 	}
+	// A service runs with all its replicas at once, or its users miss some of it.
+	if n := float64(j.Tasks); j.Standing() && (n*j.CPUs > team.CPUsMax || n*j.GPUs > team.GPUsMax) {
+		return "all its tasks together need more than the team's limit"
+	}
 	for _, t := range types {
 		if (len(j.Types) == 0 || slices.Contains(j.Types, t.Name)) && (j.Zone == "" || slices.Contains(t.ZoneNames, j.Zone)) &&
 			j.CPUs <= t.CPUs && j.GPUs <= t.GPUs && j.MemoryGB <= t.MemoryGB {
--- a/internal/block/cycle.go
+++ b/internal/block/cycle.go
@@ -65,6 +65,9 @@
 		}
 		g := &placement.Group{Key: j.Ref, Indexes: o.Indexes, Image: j.Image, Zone: zone, Types: j.Types, Spot: j.Spot,
 			CPUs: j.CPUs, GPUs: j.GPUs, Memory: j.MemoryGB}
+		if j.Standing() {
+			g.Apart, g.Avoid = true, b.avoided(j.Ref)
+		}
 		groups = append(groups, g)
 		specs[g] = &peer.RecordGroup{Job: j.Ref, Team: j.Team, CPUs: j.CPUs, GPUs: j.GPUs, Memory: j.MemoryGB,
 			SaveS: j.SaveS, Ckpt: j.CheckpointS, Image: j.Image, ImageGB: j.ImageGB}
@@ -95,6 +98,21 @@
 	}
 }
 
+// avoided are the machines where another replica of a service had better not go: those
+// that have one, and those where one failed.
+func (b *blk) avoided(job string) map[string]bool {
+	out := map[string]bool{}
+	for _, m := range b.order {
+		if slices.Contains(m.failed, job) || slices.ContainsFunc(m.recs, func(r *rec) bool { return r.task.Job == job && r.state != exited }) {
+			out[m.name] = true
+		}
+	}
+	return out
+}
+
+// mostFailed is how many jobs whose tasks failed a machine is remembered for.
+const mostFailed = 32
+
 // txnBytes is what the values of one transaction may take together.
 const txnBytes = 56 << 10
 
--- a/internal/block/dialogue.go
+++ b/internal/block/dialogue.go
@@ -332,6 +332,9 @@
 		case wire.CauseError, wire.CauseUnknown:
 			ev.Kind = peer.Errored
 			rc.stored = true
+			if !slices.Contains(m.failed, rc.task.Job) && len(m.failed) < mostFailed {
+				m.failed = append(m.failed, rc.task.Job)
+			}
 		default:
 			ev.Kind = peer.Back
 			rc.stored = true
--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -60,6 +60,7 @@
 	deaf                     clock.Micros // since when it seems not to hear us; 0: it does
 	fenced                   clock.Micros // when it was last shown our token directly
 	recs                     []*rec       // in the order in which they came
+	failed                   []string     // jobs whose tasks failed here
 	free                     *placement.Machine
 	images                   *placement.Cache
 }
@@ -121,7 +122,7 @@
 func FromConfig(cfg *config.Config, storeOK func() bool) *Holder {
 	f, t := &cfg.Facts, cfg.Tuning.Placement
 	return New(Params{Node: cfg.Name, GrantTime: cfg.GrantTime(), Lease: cfg.LeaseTime(), ReportTime: clock.FromSeconds(f.Workers.ReportS),
-		ValueBytes: cfg.ValueBytes(), TxnOps: f.State.TxnOps},
+		ValueBytes: cfg.ValueBytes(), TxnOps: cfg.TxnOps()},
 		placement.Params{K: t.K, Eta: t.Eta, Epsilon: t.Epsilon, Small: t.Small}, storeOK)
 }
 
@@ -219,7 +220,7 @@
 			n.session, n.seq, n.beatSession, n.beatSeq = m.session, m.seq, m.beatSession, m.beatSeq
 			n.began = m.began
 			n.heard, n.answered, n.notice, n.gone = m.heard, m.answered, m.notice, m.gone
-			n.deaf, n.unheard, n.images = m.deaf, m.unheard, m.images
+			n.deaf, n.unheard, n.images, n.failed = m.deaf, m.unheard, m.images, m.failed
 		}
 		b.expires = old.expires
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -67,6 +67,7 @@
 			WriteRPS float64 `json:"write_rps" validate:"gt=0"`
 			ValueKB  float64 `json:"value_kb" validate:"min=2"`
 			TxnOps   int     `json:"txn_ops" validate:"min=2"`
+			Next     *Next   `json:"next" validate:"omitempty"`
 		} `json:"state"`
 		Cloud struct {
 			RPS      float64 `json:"rps" validate:"gt=0"`
@@ -81,6 +82,14 @@
 	} `json:"facts"`
 }
 
+// Next holds the limits that the state service has from some moment on, without
+// notice; what is left out stays as it is.
+type Next struct {
+	WriteRPS float64 `json:"write_rps" validate:"omitempty,gt=0"`
+	ValueKB  float64 `json:"value_kb" validate:"omitempty,min=2"`
+	TxnOps   int     `json:"txn_ops" validate:"omitempty,min=2"`
+}
+
 // Tuning is the operators' own file: what the design leaves open.
 type Tuning struct {
 	Placement Placement `yaml:"placement"`
@@ -164,8 +173,28 @@
 	return clock.FromSeconds(min(c.Tuning.Grants.TimeS, most))
 }
 
+// ValueMax is what a value of the state service may hold, now and later: limits may
+// fall at any moment, and a value over them would be refused for ever.
+func (c *Config) ValueMax() int {
+	kb := c.Facts.State.ValueKB
+	if n := c.Facts.State.Next; n != nil && n.ValueKB > 0 {
+		kb = min(kb, n.ValueKB)
+	}
+	return int(kb * 1024)
+}
+
 // ValueBytes is how much we put into one value of the state service at most.
-func (c *Config) ValueBytes() int { return int(c.Facts.State.ValueKB * 1024 * 0.9) }
+func (c *Config) ValueBytes() int { return c.ValueMax() * 9 / 10 }
+
+// TxnOps is how many puts and deletes a transaction may hold, now and later. The rate of
+// changes needs no such care: it follows what the state service answers.
+func (c *Config) TxnOps() int {
+	ops := c.Facts.State.TxnOps
+	if n := c.Facts.State.Next; n != nil && n.TxnOps > 0 {
+		ops = min(ops, n.TxnOps)
+	}
+	return ops
+}
 
 // HTTPSockets is how many connections from users and workers are served at once.
 // A controller that is left alone speaks to every machine of the site both ways, so
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -261,9 +261,9 @@
 	return out
 }
 
-// mostAtOnce is how many machines one request may ask for, mostARound how many are
+// MostAtOnce is how many machines one request may ask for, mostARound how many are
 // asked of one option before its answers are seen.
-const mostAtOnce, mostARound = 50, 100
+const MostAtOnce, mostARound = 50, 100
 
 func (o Option) same(x Option) bool {
 	return x.Type.Name == o.Type.Name && x.Zone == o.Zone && x.Spot == o.Spot
@@ -286,8 +286,8 @@
 		if ordered(out, o.Option) > 0 {
 			continue
 		}
-		for n := ordered(orders, o.Option); n > 0; n -= mostAtOnce {
-			out = append(out, Order{o.Option, min(n, mostAtOnce)})
+		for n := ordered(orders, o.Option); n > 0; n -= MostAtOnce {
+			out = append(out, Order{o.Option, min(n, MostAtOnce)})
 		}
 	}
 	slices.SortStableFunc(out, func(a, b Order) int {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -61,7 +61,7 @@
 		t.Errorf("rents %v, want %d cheap machines and no other", rent, mostARound)
 	}
 	for _, o := range rent {
-		if o.Count > mostAtOnce {
+		if o.Count > MostAtOnce {
 			t.Errorf("asks for %d machines at once", o.Count)
 		}
 	}
--- a/internal/leader/grants.go
+++ b/internal/leader/grants.go
@@ -26,7 +26,9 @@
 	cpus, gpus float64
 	zone       string
 	running    bool
+	since      clock.Micros // when it was first seen to run
 	machine    string
+	stopped    string // why it was told to stop, if it was
 }
 
 type lblock struct {
@@ -140,7 +142,7 @@
 		}
 	}
 	for len(todo) > 0 {
-		k := min(len(todo), l.cfg.Facts.State.TxnOps)
+		k := min(len(todo), l.cfg.TxnOps())
 		l.writeBlocks(todo[:k])
 		todo = todo[k:]
 	}
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -9,6 +9,7 @@
 
 	"github.com/goccy/go-json"
 
+	"swiftledge/internal/block"
 	"swiftledge/internal/clock"
 	"swiftledge/internal/peer"
 	"swiftledge/internal/store"
@@ -20,6 +21,7 @@
 	done, saved []byte // bits
 	dirty       bool
 	shelf       *shelf // where it is stored
+	former      *shelf // too large a one, which holds it until the other has it
 }
 
 // shape is what a job's tasks take and where they may be.
@@ -46,12 +48,21 @@
 	errAt     map[string]bool
 	errs      int
 	notBefore clock.Micros
+	replicas  map[int]*replica // of a service, those that ended and were to go on
+}
+
+// replica is what is remembered of a service's task between its attempts.
+type replica struct {
+	ends  int          // how often it ended by itself soon after its start
+	since clock.Micros // when it was last seen to end; 0: it runs
+	cause string
+	until clock.Micros // it waits until then to be tried again
 }
 
 func (l *Leader) addJob(r JobRecord, stamp uint64) *job {
 	n := r.Spec.Tasks
 	s := &r.Spec
-	j := &job{shape: shape{s.CPUs, s.GPUs, s.MemoryGB, fmt.Sprint(s.Types), s.Zone, s.Spot}, rec: r, stamp: stamp, out: map[int]int{}, errAt: map[string]bool{}, want: make([]uint64, (n+63)/64)}
+	j := &job{shape: shape{s.CPUs, s.GPUs, s.MemoryGB, fmt.Sprint(s.Types), s.Zone, s.Spot}, rec: r, stamp: stamp, out: map[int]int{}, errAt: map[string]bool{}, replicas: map[int]*replica{}, want: make([]uint64, (n+63)/64)}
 	for left := n; left > 0; left -= ChunkTasks {
 		n := (min(left, ChunkTasks) + 7) / 8
 		j.chunks = append(j.chunks, chunk{done: make([]byte, n), saved: make([]byte, n)})
@@ -258,10 +269,84 @@
 	j.leaveShelves()
 }
 
+// steady is how long a replica runs before it is taken for sound.
+const steady = 10 * clock.Second
+
+// mostPause bounds the growing pauses of what keeps ending.
+const mostPause = 60
+
+// fell notes that a replica has ended and is to run again elsewhere; one that keeps
+// ending by itself waits longer each time.
+func (l *Leader) fell(now clock.Micros, j *job, e peer.Event, h *held) {
+	r := j.replicas[e.Index]
+	if r == nil {
+		r = &replica{}
+		j.replicas[e.Index] = r
+	}
+	up := 0.0
+	if h.running {
+		up = (now - h.since).Seconds()
+		r.since, r.cause = now, e.Kind
+		if e.Kind == peer.Back && h.stopped != "" {
+			r.cause = h.stopped
+		}
+		l.info("replica ended", "task", block.TaskName(e.Task), "machine", h.machine, "cause", r.cause, "ran_s", up)
+	}
+	l.urgent = true
+	if e.Kind == peer.Back {
+		return
+	}
+	if h.running && now-h.since > 6*steady {
+		r.ends = 0
+	}
+	if r.ends++; r.ends > 1 {
+		r.until = now + clock.FromSeconds(math.Min(mostPause, math.Pow(2, float64(min(r.ends, 7)-1))))
+		j.setWaiting(e.Index, false)
+	}
+}
+
+// rose notes that a replica runs, again or for the first time.
+func (l *Leader) rose(now clock.Micros, j *job, t peer.Task, h *held) {
+	r := j.replicas[t.Index]
+	if r == nil || r.since == 0 {
+		return
+	}
+	l.info("replica runs again", "task", block.TaskName(t), "machine", h.machine, "cause", r.cause, "down_s", (now - r.since).Seconds())
+	r.since = 0
+}
+
+// retry lets replicas wait again whose pause is over.
+func (l *Leader) retry(now clock.Micros, j *job) {
+	for i, r := range j.replicas {
+		if r.until > 0 && now >= r.until {
+			r.until = 0
+			if j.out[i] == 0 {
+				j.setWaiting(i, true)
+				l.urgent, l.stirred = true, true
+			}
+		}
+	}
+}
+
+// runsWell says whether a replica of a service has run for a while, so that one that
+// fails elsewhere is its machine's fault.
+func (l *Leader) runsWell(now clock.Micros, j *job) bool {
+	for i := range j.out {
+		for _, b := range l.blocks {
+			if h := b.tasks[peer.Task{Job: j.rec.Spec.Ref, Index: i}]; h != nil && h.running && now-h.since > steady {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // errored tells faulty machines from jobs that fail everywhere.
 func (l *Leader) errored(now clock.Micros, j *job, name string) {
 	j.errs++
 	j.errAt[name] = true
+	standing := j.rec.Spec.Standing()
+	j.okay = j.okay || standing && l.runsWell(now, j)
 	if m := l.machines[name]; m != nil {
 		m.errRun++
 		if m.errs == nil {
@@ -273,7 +358,8 @@
 			l.drain(m, "fails its tasks")
 		}
 	}
-	if !j.okay && len(j.errAt) >= 2 {
+	// A service's replicas wait one by one: see fell.
+	if !j.okay && !standing && len(j.errAt) >= 2 {
 		back := clock.FromSeconds(math.Min(60, math.Pow(2, float64(min(j.errs, 6)))))
 		j.notBefore = now + back
 	}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -51,6 +51,7 @@
 	errRun   int
 	// Room that is left while offers are made; the holder's word in state is not touched.
 	cpus, gpus, mem float64
+	making          making
 }
 
 type rental struct {
@@ -94,7 +95,7 @@
 	shelfSeq                                                 int
 	progressAt, lastPlan                                     clock.Micros
 	found                                                    map[string]wire.Machine
-	lastList, lastCounts, lastState, lastFleet, lastSchedule clock.Micros
+	lastList, lastCounts, lastState, lastFleet, lastSchedule, lastEvict clock.Micros
 	listing                                                  bool
 	deleting                                                 int // deletions under way
 	catalogAt                                                clock.Micros
@@ -415,6 +416,7 @@
 	refs := slices.Sorted(maps.Keys(l.jobs))
 	for _, ref := range refs {
 		l.end(l.jobs[ref])
+		l.retry(now, l.jobs[ref])
 	}
 	l.progress(now, refs)
 	if now-l.lastCounts >= clock.Second {
@@ -478,9 +480,10 @@
 		}
 	case peer.Running:
 		if h := b.tasks[e.Task]; h != nil && !h.running {
-			h.running = true
+			h.running, h.since = true, now
 			if j != nil {
 				j.running++
+				l.rose(now, j, e.Task, h)
 			}
 		}
 	case peer.Unplaced, peer.Back, peer.Errored, peer.Done:
@@ -488,7 +491,13 @@
 		if h != nil && h.running && j != nil {
 			j.running--
 		}
-		if e.Kind == peer.Done {
+		standing := j != nil && j.rec.Spec.Standing()
+		if e.Kind == peer.Done && standing {
+			// No end of a replica is its last. It stays listed until its machine has shown a
+			// higher token: a late copy of its order would start it anew.
+			b.orders.Stop = append(b.orders.Stop, peer.StopTask{Task: e.Task})
+			b.orders.Stored = append(b.orders.Stored, e.Task)
+		} else if e.Kind == peer.Done {
 			l.done(now, b, j, e)
 			if h != nil && j != nil {
 				j.gone(e.Index)
@@ -497,6 +506,9 @@
 		}
 		if h != nil && j != nil {
 			j.giveBack(e.Index)
+			if standing && e.Kind != peer.Unplaced {
+				l.fell(now, j, e, h)
+			}
 		}
 		if e.Kind == peer.Errored && j != nil {
 			l.errored(now, j, e.Machine)
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 
 	"swiftledge/internal/clock"
@@ -76,17 +77,35 @@
 	if s.Tasks > 0 || m.state.Tasks > 0 {
 		m.idle = now
 	}
-	if s.Notice && !m.state.Notice {
+	noticed := s.Notice && !m.state.Notice
+	m.state = s
+	if noticed {
 		l.saveTasks(m)
 	}
-	m.state = s
 }
 
 // saveTasks stops the tasks that can save their progress before their machine goes.
 func (l *Leader) saveTasks(m *machine) {
 	b := m.block
+	var room *freeRoom
 	for t, h := range b.tasks {
-		if j := l.jobs[t.Job]; h.machine == m.name && j != nil && j.rec.Spec.CheckpointS > 0 {
+		j := l.jobs[t.Job]
+		if h.machine != m.name || j == nil {
+			continue
+		}
+		// A replica moves at once if there is room for it; else it runs to the end here.
+		moves := false
+		if j.rec.Spec.Standing() && m.state.Notice {
+			if room == nil {
+				room = l.freeRoom()
+			}
+			to, _ := l.roomFor(j, room)
+			moves = to != nil && to != m
+		}
+		if moves {
+			h.stopped = "notice"
+		}
+		if moves || j.rec.Spec.CheckpointS > 0 && !j.rec.Spec.Standing() {
 			b.orders.Stop = append(b.orders.Stop, peer.StopTask{Task: t, Save: true})
 		}
 	}
@@ -212,11 +231,14 @@
 	}
 	clear(l.found)
 	for k, names := range byKind {
-		l.rentSeq++
-		rt := &rental{key: fmt.Sprintf("%sfound-%d-%d", FleetPrefix, l.epoch, l.rentSeq), busy: true,
-			rec: FleetRecord{Rental: k, Machines: names, Asked: true}}
-		l.rentals[rt.key] = rt
-		l.writeRental(rt)
+		// As many as a rental has at most: more might not fit into a value.
+		for part := range slices.Chunk(names, fleet.MostAtOnce) {
+			l.rentSeq++
+			rt := &rental{key: fmt.Sprintf("%sfound-%d-%d", FleetPrefix, l.epoch, l.rentSeq), busy: true,
+				rec: FleetRecord{Rental: k, Machines: part, Asked: true}}
+			l.rentals[rt.key] = rt
+			l.writeRental(rt)
+		}
 	}
 }
 
@@ -382,10 +404,15 @@
 
 // plan rents what the queues need, if it may, and names idle machines to return.
 func (l *Leader) plan(now clock.Micros, rent bool) []string {
-	byShape := map[shape]*fleet.Need{}
+	byShape := map[needKey]*fleet.Need{}
 	var needs []*fleet.Need
 	room := map[string]float64{}
-	for _, ref := range slices.Sorted(maps.Keys(l.jobs)) {
+	refs := slices.Sorted(maps.Keys(l.jobs))
+	// Services first: they cannot wait, and few machines are theirs to choose from.
+	slices.SortStableFunc(refs, func(a, b string) int {
+		return standingFirst(l.jobs[a]) - standingFirst(l.jobs[b])
+	})
+	for _, ref := range refs {
 		j := l.jobs[ref]
 		s := &j.rec.Spec
 		left := s.Tasks - j.nDone
@@ -400,15 +427,21 @@
 			n = min(n, int(room[s.Team]/s.CPUs+1e-9))
 		}
 		room[s.Team] -= float64(n) * s.CPUs
-		need := byShape[j.shape]
+		key := needKey{j.shape, s.Standing()}
+		need := byShape[key]
 		if need == nil {
 			need = &fleet.Need{CPUs: s.CPUs, GPUs: s.GPUs, Memory: s.MemoryGB, Types: s.Types, Zone: s.Zone, Spot: s.Spot}
-			byShape[j.shape] = need
+			byShape[key] = need
 			needs = append(needs, need)
 		}
 		need.Tasks += n
-		need.Seconds += float64(left) * l.remaining(j)
+		if s.Standing() {
+			need.Seconds = math.Inf(1)
+		} else {
+			need.Seconds += float64(left) * l.remaining(j)
+		}
 	}
+	l.reserve(now, byShape)
 	flat := make([]fleet.Need, len(needs))
 	for i, n := range needs {
 		flat[i] = *n
@@ -464,6 +497,61 @@
 	return d.Return
 }
 
+// needKey tells needs apart.
+type needKey struct {
+	shape    shape
+	standing bool
+}
+
+func standingFirst(j *job) int {
+	if j.rec.Spec.Standing() {
+		return 0
+	}
+	return 1
+}
+
+// arrivals is for how long back the services that came are counted, and at least.
+const arrivals, leastArrivals = 120, 30
+
+// reserve adds the room that services need which come while a machine rented for them
+// would still boot: what came lately, for that long, and half as much again as it varies.
+func (l *Leader) reserve(now clock.Micros, needs map[needKey]*fleet.Need) {
+	type came struct{ sum, squares float64 }
+	lately := map[needKey]*came{}
+	oldest := 0.0
+	for _, j := range l.jobs {
+		age := (now + l.wall - j.rec.At).Seconds()
+		if !j.rec.Spec.Standing() || age > arrivals {
+			continue
+		}
+		oldest = max(oldest, age)
+		key := needKey{j.shape, true}
+		c := lately[key]
+		if c == nil {
+			c = &came{}
+			lately[key] = c
+		}
+		n := float64(j.rec.Spec.Tasks)
+		c.sum += n
+		c.squares += n * n
+	}
+	window := max(oldest, leastArrivals)
+	for key, c := range lately {
+		need := needs[key]
+		if need == nil {
+			continue
+		}
+		boot := 0.0
+		for _, t := range l.typeList {
+			if need.Slots(&t, need.Zone, need.Spot) > 0 {
+				boot = max(boot, t.BootS)
+			}
+		}
+		ahead := boot * 1.3 / window
+		need.Tasks += int(math.Ceil(c.sum*ahead + 1.5*math.Sqrt(c.squares*ahead)))
+	}
+}
+
 // stuckAfter is how long a rental is without an answer before the cloud counts as away.
 const stuckAfter = 10 * clock.Second
 
--- a/internal/leader/progress.go
+++ b/internal/leader/progress.go
@@ -23,6 +23,10 @@
 	size  int
 	dirty bool // a chunk is to be written or removed
 	busy  bool
+	// Of a shelf that was written when values could be larger: how many of its chunks have
+	// no other yet. It is left as it is until then, and deleted.
+	moving int
+	large  bool
 }
 
 type shelfUnit struct {
@@ -36,7 +40,7 @@
 func (l *Leader) place(j *job, c int) *shelf {
 	need := chunkBytes(len(j.chunks[c].done))
 	for _, s := range l.shelves {
-		if s.size+need <= l.cfg.ValueBytes() {
+		if !s.large && s.size+need <= l.cfg.ValueBytes() {
 			s.put(j, c)
 			return s
 		}
@@ -57,6 +61,7 @@
 // leaveShelves takes a job that is over off its shelves; they are written without it in time.
 func (j *job) leaveShelves() {
 	for c := range j.chunks {
+		j.chunks[c].leaveFormer()
 		s := j.chunks[c].shelf
 		if s == nil {
 			continue
@@ -68,13 +73,24 @@
 	}
 }
 
+// leaveFormer notes that a shelf that is too large need not hold the chunk any more.
+func (c *chunk) leaveFormer() {
+	if c.former == nil {
+		return
+	}
+	c.former.moving--
+	c.former.dirty = true
+	c.former = nil
+}
+
 // loadShelf takes in progress as an earlier leader stored it.
 func (l *Leader) loadShelf(it wire.Item, r ProgRecord) {
 	s := &shelf{key: it.Key, stamp: it.Version, size: 32}
 	l.shelves = append(l.shelves, s)
 	for _, u := range r.Units {
 		j := l.jobs[u.Job]
-		if j == nil || u.Chunk < 0 || u.Chunk >= len(j.chunks) {
+		// A service that an older version held for a batch has no progress either.
+		if j == nil || j.rec.Spec.Standing() || u.Chunk < 0 || u.Chunk >= len(j.chunks) {
 			s.dirty = true // of a job that is over
 			continue
 		}
@@ -83,13 +99,24 @@
 			ch.done[i] |= u.Bits[i]
 			ch.saved[i] |= u.Bits[i]
 		}
-		if ch.shelf == nil {
+		if ch.shelf == nil && ch.former == nil {
 			s.put(j, u.Chunk)
 		} else {
 			s.dirty = true // on two shelves: one of them is enough
-			ch.shelf.dirty = true
+			ch.dirty = true
 		}
 	}
+	if s.size > l.cfg.ValueBytes() {
+		// Written when values could be larger: as it is, it could not be written again. Its
+		// chunks go to other shelves, and it stays until they are stored there.
+		s.large, s.dirty = true, true
+		for _, u := range s.units {
+			ch := &u.j.chunks[u.chunk]
+			ch.shelf, ch.former, ch.dirty = nil, s, true
+		}
+		s.moving = len(s.units)
+		s.units = nil
+	}
 }
 
 type progTag struct {
@@ -119,7 +146,7 @@
 		}
 	}
 	l.shelves = slices.DeleteFunc(l.shelves, func(s *shelf) bool {
-		if s.busy || !s.dirty || len(s.units) > 0 {
+		if s.busy || !s.dirty || len(s.units) > 0 || s.moving > 0 {
 			return false
 		}
 		if s.stamp > 0 {
@@ -128,7 +155,7 @@
 		return true
 	})
 	for _, s := range l.shelves {
-		if s.busy || !s.dirty {
+		if s.busy || !s.dirty || s.large {
 			continue
 		}
 		s.busy, s.dirty = true, false
@@ -153,6 +180,9 @@
 		saved := map[string]*job{}
 		for i, u := range tag.units {
 			copy(u.j.chunks[u.chunk].saved, tag.bits[i])
+			if u.j.chunks[u.chunk].shelf == s {
+				u.j.chunks[u.chunk].leaveFormer()
+			}
 			saved[u.j.rec.Spec.Ref] = u.j
 		}
 		for _, b := range l.blocks {
--- a/internal/leader/schedule.go
+++ b/internal/leader/schedule.go
@@ -58,6 +58,9 @@
 	q    []*queued
 	// What its classes use, and under "" what jobs use that have waited long.
 	use map[string]float64
+	// What services use, and whether the team has other jobs: neither may shut out the other.
+	standing float64
+	mixed    bool
 	// Whose turn it is within the team, and the team's place among the others; they
 	// change only when the team is served.
 	pick  *queued
@@ -116,10 +119,11 @@
 	t.pick, t.first = t.next(floor)
 	// What the limit holds back must not be passed by smaller tasks of less
 	// important jobs, which would take every bit of room that comes free.
-	for t.pick != nil && !t.u.takes(&t.pick.j.rec.Spec, t.team.CPUsMax, t.team.GPUsMax) {
+	for t.pick != nil && !t.takes(&t.pick.j.rec.Spec, floor) {
 		t.pick.spent = true
+		full := !t.u.takes(&t.pick.j.rec.Spec, t.team.CPUsMax, t.team.GPUsMax)
 		for _, o := range t.q {
-			o.spent = o.spent || o.rank() > t.pick.rank()
+			o.spent = o.spent || full && o.rank() > t.pick.rank()
 		}
 		t.pick, t.first = t.next(floor)
 	}
@@ -135,6 +139,15 @@
 	}
 }
 
+// takes says whether the team may run one more task of s: within its limit, and with the
+// least share left to its other jobs if s is a service, which never ends by itself.
+func (t *teamQueue) takes(s *wire.Job, floor float64) bool {
+	if s.Standing() && t.mixed && t.standing+s.CPUs > t.team.CPUsMax*(1-floor)+1e-9 {
+		return false
+	}
+	return t.u.takes(s, t.team.CPUsMax, t.team.GPUsMax)
+}
+
 type offerKey struct {
 	block int
 	job   string
@@ -159,9 +172,6 @@
 		return
 	}
 	room := l.freeRoom()
-	if len(room.ms) == 0 {
-		return
-	}
 	offers := map[offerKey]int{}
 	floor := l.cfg.Tuning.Queues.LeastShare
 	for {
@@ -185,6 +195,9 @@
 			continue
 		}
 		cpus := float64(given) * job.j.rec.Spec.CPUs
+		if job.j.rec.Spec.Standing() {
+			best.standing += cpus
+		}
 		best.use[job.j.rec.Spec.Class] += cpus
 		if job.aged {
 			best.use[aged] += cpus
@@ -197,6 +210,7 @@
 			b.offered = true
 		}
 	}
+	l.evict(now)
 }
 
 // queues sorts the jobs that wait by team.
@@ -214,6 +228,11 @@
 		age := (now + l.wall - j.rec.At).Seconds()
 		cpus := float64(len(j.out)) * s.CPUs
 		t.use[s.Class] += cpus
+		if s.Standing() {
+			t.standing += cpus
+		} else {
+			t.mixed = true
+		}
 		if age > old {
 			t.use[aged] += cpus
 		}
@@ -247,7 +266,7 @@
 		b.orders.Wake = append(b.orders.Wake, m.name)
 	}
 	given := 0
-	for given < n && m.holds(s) && t.u.takes(s, t.team.CPUsMax, t.team.GPUsMax) {
+	for given < n && m.holds(s) && t.takes(s, l.cfg.Tuning.Queues.LeastShare) {
 		i := j.take()
 		if i < 0 {
 			break
@@ -372,28 +391,56 @@
 // roomInZone is roomFor for jobs whose tasks bind each other's zone.
 func (l *Leader) roomInZone(j *job, room *freeRoom) (*machine, string) {
 	s := &j.rec.Spec
-	inZone := map[string]int{}
-	for i := range j.out {
-		for _, b := range l.blocks {
-			if h := b.tasks[peer.Task{Job: s.Ref, Index: i}]; h != nil {
-				inZone[h.zone]++
-			}
+	zones := l.zones(j)
+	var again *machine
+	for _, m := range room.ms {
+		if !m.holds(s) || !m.allowed(s) || !zones.allow(m.opt.Zone) {
+			continue
+		}
+		if !j.errAt[m.name] {
+			return m, m.opt.Zone
+		}
+		if again == nil {
+			again = m
 		}
 	}
-	// A task that may be anywhere leaves no zone that is surely allowed.
-	if inZone[""] > 0 {
+	if again == nil {
 		return nil, ""
 	}
-	for _, m := range room.ms {
-		switch {
-		case !m.holds(s) || !m.allowed(s):
-		case s.OneZone && len(inZone) > 0 && inZone[m.opt.Zone] == 0:
-		case s.Spread && inZone[m.opt.Zone] >= (s.Tasks+1)/2:
-		default:
-			return m, m.opt.Zone
+	return again, again.opt.Zone
+}
+
+// zones is where the tasks of a job are, and so where more of them may be.
+type zones struct {
+	job *wire.Job
+	n   map[string]int
+}
+
+func (l *Leader) zones(j *job) zones {
+	z := zones{&j.rec.Spec, map[string]int{}}
+	if !z.job.OneZone && !z.job.Spread {
+		return z
+	}
+	for i := range j.out {
+		for _, b := range l.blocks {
+			if h := b.tasks[peer.Task{Job: z.job.Ref, Index: i}]; h != nil {
+				z.n[h.zone]++
+			}
 		}
 	}
-	return nil, ""
+	return z
 }
 
+func (z zones) allow(zone string) bool {
+	switch {
+	case z.n[""] > 0 && (z.job.OneZone || z.job.Spread):
+		return false // a task that may be anywhere leaves no zone that is surely allowed
+	case z.job.OneZone && len(z.n) > 0 && z.n[zone] == 0:
+		return false
+	}
+	return !z.job.Spread || z.n[zone] < (z.job.Tasks+1)/2
+}
+
+func (z zones) add(zone string) { z.n[zone]++ }
+
 func (l *Leader) blockOf(machine string) *lblock { return l.blocks[block.Of(machine, len(l.blocks))] }
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -1,7 +1,9 @@
 // Package peer is what controllers say to each other: msgpack over plain TCP,
 // followers dial the leader. A link that breaks is never resumed: the leader
-// grants the blocks anew, under new tokens. Messages are arrays of their fields:
-// all controllers of a site run the same version.
+// grants the blocks anew, under new tokens. Messages are arrays of their fields, and
+// their reader refuses an array with a field more or less. While an upgrade goes on two
+// versions speak to each other, so these arrays stay as they are; wire.Job and
+// wire.MachineType travel as maps and may grow.
 package peer
 
 import (
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -110,6 +110,10 @@
 	Types              []string
 	Spot               bool
 	CPUs, GPUs, Memory float64
+	// Avoid names machines that are taken only when no other is left, among them, when
+	// Apart, those that have one of the group's tasks: one machine's end must not end all.
+	Avoid map[string]bool
+	Apart bool
 }
 
 // Fits says whether one task of g can be given to m now.
@@ -164,6 +168,9 @@
 			m.Unstarted++
 			b.Visit(t.g.Image, m.Name, now)
 			c.holders(t.g.Image)[t.at] = true
+			if t.g.Apart {
+				t.g.Avoid[m.Name] = true
+			}
 			out = append(out, Match{t.g, t.index, m})
 		}
 		// Room only shrinks: a group that fits nowhere now never will.
@@ -248,7 +255,7 @@
 			continue
 		}
 		m := c.machines[j]
-		if !g.Fits(m) {
+		if !g.Fits(m) || g.Avoid[m.Name] {
 			continue
 		}
 		if s := c.book.decayed(v, m, c.p.K, c.now); s > c.p.Eta {
@@ -353,12 +360,12 @@
 
 // seat is a machine as a fallback.
 type seat struct {
-	at, unstarted int
-	cached        bool
-	cpus          float64
+	at, unstarted   int
+	cached, avoided bool
+	cpus            float64
 }
 
-// seats is a heap, the best fallback first: the fewest unstarted tasks; among these one
+// seats is a heap, the best fallback first: one that is not avoided; the fewest unstarted tasks; among these one
 // that is known to hold or fetch the image, so that it is not fetched again; then the fullest.
 type seats []seat
 
@@ -366,6 +373,8 @@
 func (s seats) Less(i, j int) bool {
 	a, b := &s[i], &s[j]
 	switch {
+	case a.avoided != b.avoided:
+		return b.avoided
 	case a.unstarted != b.unstarted:
 		return a.unstarted < b.unstarted
 	case a.cached != b.cached:
@@ -403,7 +412,7 @@
 	out := make(seats, 0, len(c.machines))
 	for j, m := range c.machines {
 		if c.owner[j] < 0 && g.Fits(m) {
-			out = append(out, seat{j, m.Unstarted, has[j], m.CPUs})
+			out = append(out, seat{j, m.Unstarted, has[j], g.Avoid[m.Name], m.CPUs})
 		}
 	}
 	heap.Init(&out)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -358,6 +358,8 @@
 		if errors.Is(err, ErrUnknown) {
 			unsure = true
 		} else if !errors.Is(err, ErrRefused) {
+			// Malformed, as limits may have fallen: proven of this try only.
+			o.Unsure = unsure
 			return o, err
 		}
 		if !Pause(ctx, n) {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -28,6 +28,13 @@
 	return -1
 }
 
+// Shapes of jobs: a batch's tasks each run to completion, a service's replicas run
+// until its user cancels it.
+const (
+	Batch   = "batch"
+	Service = "service"
+)
+
 // Job states as users see them.
 const (
 	Queued    = "queued"
@@ -87,12 +94,15 @@
 	DeadlineS   *float64 `json:"dueS"`
 }
 
+// Standing says whether the job's tasks run until it is cancelled.
+func (j *Job) Standing() bool { return j.Shape == Service }
+
 // JobForm is a submission as received: pointers tell a missing field from zero.
 type JobForm struct {
 	Ref         *string   `json:"ref" validate:"required,jobref"`
 	Class       *string   `json:"lane" validate:"required"`
 	Team        *string   `json:"owner" validate:"required"`
-	Shape       *string   `json:"shape" validate:"required,eq=batch"`
+	Shape       *string   `json:"shape" validate:"required,oneof=batch service"`
 	Priority    *string   `json:"rank" validate:"required,oneof=production high standard best_effort"`
 	Tasks       *int      `json:"lots" validate:"required,min=1,max=100000"`
 	CPUs        *float64  `json:"cpus" validate:"required,min=0"`
