--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -70,43 +70,43 @@
 
 // Leader is the actor's state; it is made anew for each epoch.
 type Leader struct {
-	cfg                                                      *config.Config
-	self                                                     string
-	epoch                                                    uint64
-	run                                                      uint64
-	leading                                                  bool
-	loaded                                                   bool
-	until                                                    clock.Micros
-	began                                                    clock.Micros
-	tokens                                                   uint64
-	blocks                                                   []*lblock
-	nodes                                                    map[string]*node
-	jobs                                                     map[string]*job
-	usage                                                    map[string]*use
-	machines                                                 map[string]*machine
-	rentals                                                  map[string]*rental
-	gone                                                     map[string]bool
-	types                                                    map[string]wire.MachineType
-	typeList                                                 []wire.MachineType
-	refused                                                  map[fleet.OptionKey]refusal
-	classes                                                  map[string]*classStat
-	rentSeq                                                  int
-	shelves                                                  []*shelf
-	shelfSeq                                                 int
-	progressAt, lastPlan                                     clock.Micros
-	found                                                    map[string]wire.Machine
+	cfg                                                                 *config.Config
+	self                                                                string
+	epoch                                                               uint64
+	run                                                                 uint64
+	leading                                                             bool
+	loaded                                                              bool
+	until                                                               clock.Micros
+	began                                                               clock.Micros
+	tokens                                                              uint64
+	blocks                                                              []*lblock
+	nodes                                                               map[string]*node
+	jobs                                                                map[string]*job
+	usage                                                               map[string]*use
+	machines                                                            map[string]*machine
+	rentals                                                             map[string]*rental
+	gone                                                                map[string]bool
+	types                                                               map[string]wire.MachineType
+	typeList                                                            []wire.MachineType
+	refused                                                             map[fleet.OptionKey]refusal
+	classes                                                             map[string]*classStat
+	rentSeq                                                             int
+	shelves                                                             []*shelf
+	shelfSeq                                                            int
+	progressAt, lastPlan                                                clock.Micros
+	found                                                               map[string]wire.Machine
 	lastList, lastCounts, lastState, lastFleet, lastSchedule, lastEvict clock.Micros
-	listing                                                  bool
-	deleting                                                 int // deletions under way
-	catalogAt                                                clock.Micros
-	stirred                                                  bool // something changed that may let tasks start
-	urgent                                                   bool // a job has come
-	counts                                                   map[string]peer.TaskCount
-	fx                                                       []any
-	storeOK                                                  func() bool
-	wall                                                     clock.Micros       // the time of day less the steady clock
-	within                                                   map[string]float64 // by class: in how many seconds its jobs are expected done
-	teams                                                    map[string]config.Team
+	listing                                                             bool
+	deleting                                                            int // deletions under way
+	catalogAt                                                           clock.Micros
+	stirred                                                             bool // something changed that may let tasks start
+	urgent                                                              bool // a job has come
+	counts                                                              map[string]peer.TaskCount
+	fx                                                                  []any
+	storeOK                                                             func() bool
+	wall                                                                clock.Micros       // the time of day less the steady clock
+	within                                                              map[string]float64 // by class: in how many seconds its jobs are expected done
+	teams                                                               map[string]config.Team
 }
 
 type use struct{ cpus, gpus float64 }
@@ -425,23 +425,33 @@
 	}
 	if now-l.lastState >= 10*clock.Second {
 		l.lastState = now
-		l.logState()
+		l.logState(now)
 	}
 	l.tendFleet(now)
 }
 
 // logState sums up queues and room for whoever reads a debug log.
-func (l *Leader) logState() {
+func (l *Leader) logState(now clock.Micros) {
 	waiting, room, fit, full := 0, 0.0, 0, 0
+	standing, ordinary, idle := 0, 0, 0
 	blocked := 0
 	for _, j := range l.jobs {
 		waiting += j.nWant
+		if j.rec.Spec.Standing() {
+			standing += j.running
+		}
 		team := l.teams[j.rec.Spec.Team]
 		if u := l.usage[team.Name]; u != nil && !u.takes(&j.rec.Spec, team.CPUsMax, team.GPUsMax) {
 			blocked += j.nWant
 		}
 	}
 	for _, m := range l.machines {
+		if !m.opt.Spot {
+			ordinary++
+		}
+		if m.up && m.state.Tasks == 0 {
+			idle++
+		}
 		if m.state.Fit && !m.drain && !m.shun {
 			fit++
 			room += m.state.CPUs
@@ -455,7 +465,8 @@
 		}
 	}
 	l.emit(Log{Debug: true, Text: "state", Args: []any{"jobs", len(l.jobs), "waiting", waiting, "waiting_at_limit", blocked,
-		"teams_at_limit", full, "cpus_held", used, "cpus_free", room, "machines", len(l.machines), "fit", fit}})
+		"teams_at_limit", full, "cpus_held", used, "cpus_free", room, "machines", len(l.machines), "fit", fit,
+		"ordinary", ordinary, "idle", idle, "replicas", standing}})
 }
 
 // use is what a team's tasks take.
