--- a/internal/block/cycle.go
+++ b/internal/block/cycle.go
@@ -99,12 +99,15 @@
 }
 
 // avoided are the machines where another replica of a service had better not go: those
-// that have one, and those where one failed.
-func (b *blk) avoided(job string) map[string]bool {
-	out := map[string]bool{}
+// that have one, and more so those where one failed.
+func (b *blk) avoided(job string) map[string]int {
+	out := map[string]int{}
 	for _, m := range b.order {
-		if slices.Contains(m.failed, job) || slices.ContainsFunc(m.recs, func(r *rec) bool { return r.task.Job == job && r.state != exited }) {
-			out[m.name] = true
+		switch {
+		case slices.Contains(m.failed, job):
+			out[m.name] = 2
+		case slices.ContainsFunc(m.recs, func(r *rec) bool { return r.task.Job == job && r.state != exited }):
+			out[m.name] = 1
 		}
 	}
 	return out
--- a/internal/leader/evict.go
+++ b/internal/leader/evict.go
@@ -10,18 +10,11 @@
 	"swiftledge/wire"
 )
 
-// making is room that less important tasks were told to leave, until it is free or
-// was taken back.
-type making struct {
-	until     clock.Micros
-	cpus, mem float64
-}
-
 const (
-	// makingFor is how long told room is waited for before more is made.
-	makingFor = 3 * clock.Second
 	// evictEvery is the pause between two looks for room to make.
 	evictEvery = 300 * clock.Millisecond
+	// leavingFor is how long a task that was told to stop counts as room to come.
+	leavingFor = 3 * clock.Second
 	// mostEvicted bounds what one look stops.
 	mostEvicted = 64
 )
@@ -30,45 +23,61 @@
 type victim struct {
 	t    peer.Task
 	h    *held
-	job  *job
-	cost float64 // of the work that is lost, less for work of low priority
+	mem  float64
+	cost float64 // of the work that is lost; less for work of low priority
+}
+
+// space is what a machine has for production work, and could have.
+type space struct {
+	m         *machine
+	cpus, mem float64 // free, and soon free
+	victims   []victim
 }
 
 // evict makes room for production work that waits and finds none, by stopping less
 // important tasks (PROTOCOL, "Preemption"): the others can wait for a machine to boot.
-func (l *Leader) evict(now clock.Micros) {
+func (l *Leader) evict(now clock.Micros, teams []*teamQueue) {
 	if now-l.lastEvict < evictEvery {
 		return
 	}
-	var js []*job
-	for _, ref := range slices.Sorted(maps.Keys(l.jobs)) {
-		if j := l.jobs[ref]; j.nWant > 0 && wire.Rank(j.rec.Spec.Priority) == 0 && now >= j.notBefore {
-			js = append(js, j)
-		}
-	}
-	if len(js) == 0 {
-		return
-	}
-	l.lastEvict = now
-	on := l.victims(now)
-	left := mostEvicted
-	for _, j := range js {
-		if left -= l.evictFor(now, j, on, left); left <= 0 {
-			return
+	var spaces []*space
+	stopped := 0
+	for _, t := range teams {
+		for _, j := range t.urgent {
+			if j.nWant == 0 {
+				continue
+			}
+			if spaces == nil {
+				l.lastEvict = now
+				spaces = l.spaces(now)
+			}
+			if stopped += l.evictFor(now, t, j, spaces); stopped > mostEvicted {
+				return
+			}
 		}
 	}
 }
 
-// victims are the tasks that production work may take the place of, by machine.
-func (l *Leader) victims(now clock.Micros) map[*machine][]victim {
-	on := map[*machine][]victim{}
-	for _, b := range l.blocks {
-		if b.state != granted {
-			continue
+// spaces are the machines that could take production work, by name.
+func (l *Leader) spaces(now clock.Micros) []*space {
+	on := map[string]*space{}
+	for _, m := range l.machines {
+		if m.state.Fit && !m.drain && !m.deleting && m.block.state == granted {
+			on[m.name] = &space{m: m, cpus: m.state.CPUs, mem: m.state.Memory}
 		}
+	}
+	for _, b := range l.blocks {
 		for t, h := range b.tasks {
-			m, j := l.machines[h.machine], l.jobs[t.Job]
-			if m == nil || j == nil || h.stopped != "" || m.drain || m.deleting || !m.state.Fit {
+			at, j := on[h.machine], l.jobs[t.Job]
+			if at == nil || j == nil {
+				continue
+			}
+			mem := j.rec.Spec.MemoryGB
+			if h.stopped != "" {
+				if now-h.stoppedAt < leavingFor {
+					at.cpus += h.cpus
+					at.mem += mem
+				}
 				continue
 			}
 			rank := wire.Rank(j.rec.Spec.Priority)
@@ -79,92 +88,98 @@
 			if h.running {
 				ran = (now - h.since).Seconds()
 			}
-			on[m] = append(on[m], victim{t, h, j, h.cpus * (ran + 5) / float64(rank)})
+			at.victims = append(at.victims, victim{t, h, mem, h.cpus * (ran + 5) / float64(rank)})
 		}
 	}
-	for _, vs := range on {
-		slices.SortFunc(vs, func(a, b victim) int {
+	out := make([]*space, 0, len(on))
+	for _, name := range slices.Sorted(maps.Keys(on)) {
+		at := on[name]
+		slices.SortFunc(at.victims, func(a, b victim) int {
 			return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.t.Job, b.t.Job), cmp.Compare(a.t.Index, b.t.Index))
 		})
+		out = append(out, at)
 	}
-	return on
+	return out
 }
 
-// evictFor makes room for the waiting tasks of one job, as far as it may run; it says how
+// evictFor makes room for the waiting tasks of one job, as far as it may run, and says how
 // many tasks it stopped.
-func (l *Leader) evictFor(now clock.Micros, j *job, on map[*machine][]victim, most int) (stopped int) {
+func (l *Leader) evictFor(now clock.Micros, t *teamQueue, j *job, spaces []*space) (stopped int) {
 	s := &j.rec.Spec
-	team := l.teams[s.Team]
-	u := *l.use(s.Team)
 	zones := l.zones(j)
-	var ms []*machine
-	for _, name := range slices.Sorted(maps.Keys(l.machines)) {
-		if m := l.machines[name]; m.state.Fit && !m.drain && !m.shun && !m.deleting && m.allowed(s) && m.block.state == granted {
-			ms = append(ms, m)
+	// What the team's tasks that leave give back.
+	u := *t.u
+	for _, b := range l.blocks {
+		for _, h := range b.tasks {
+			if h.team == s.Team && h.stopped != "" && now-h.stoppedAt < leavingFor {
+				u.cpus -= h.cpus
+				u.gpus -= h.gpus
+			}
 		}
 	}
-	for n := j.nWant; n > 0 && stopped < most; n-- {
-		if !u.takes(s, team.CPUsMax, team.GPUsMax) {
-			break
+	standing := t.standing
+	for n := j.nWant; n > 0; n-- {
+		if s.Standing() && !t.mayStand(s, standing, l.cfg.Tuning.Queues.LeastShare) {
+			return stopped
 		}
-		var best *machine
-		bestN, bestCost := 0, 0.0
-		for _, m := range ms {
-			if !zones.allow(m.opt.Zone) {
+		// At its limit a team makes room for itself.
+		own := !u.takes(s, t.team.CPUsMax, t.team.GPUsMax)
+		var best *space
+		var leave []int
+		cost := 0.0
+		for _, at := range spaces {
+			if !at.m.allowed(s) || !zones.allow(at.m.opt.Zone) || j.barred(now, at.m) || at.m.state.GPUs+1e-9 < s.GPUs {
 				continue
 			}
-			k, cost, ok := m.makes(now, s, on[m])
-			if ok && (best == nil || cost < bestCost) {
-				best, bestN, bestCost = m, k, cost
+			if who, c, ok := at.makes(s, own); ok && (best == nil || c < cost) {
+				best, leave, cost = at, who, c
 			}
 		}
 		if best == nil {
-			break
-		}
-		if best.making.until <= now {
-			best.making = making{}
+			return stopped
 		}
-		for _, v := range on[best][:bestN] {
-			best.making.cpus += v.h.cpus
-			best.making.mem += v.job.rec.Spec.MemoryGB
-			l.stopTask(best.block, v, "evicted")
+		for _, i := range slices.Backward(leave) {
+			v := best.victims[i]
+			best.victims = slices.Delete(best.victims, i, i+1)
+			best.cpus += v.h.cpus
+			best.mem += v.mem
+			if v.h.team == s.Team {
+				u.cpus -= v.h.cpus
+				u.gpus -= v.h.gpus
+			}
+			v.h.stopped, v.h.stoppedAt = "evicted", now
+			best.m.block.orders.Stop = append(best.m.block.orders.Stop, peer.StopTask{Task: v.t})
 			stopped++
 		}
-		if bestN > 0 {
-			best.making.until = now + makingFor
-		}
-		on[best] = on[best][bestN:]
-		best.making.cpus -= s.CPUs
-		best.making.mem -= s.MemoryGB
-		best.making.until = max(best.making.until, now+makingFor/3)
-		zones.add(best.opt.Zone)
+		best.cpus -= s.CPUs
+		best.mem -= s.MemoryGB
+		zones.add(best.m.opt.Zone)
 		u.cpus += s.CPUs
 		u.gpus += s.GPUs
+		standing += s.CPUs
 	}
 	return stopped
 }
 
-func (l *Leader) stopTask(b *lblock, v victim, why string) {
-	v.h.stopped = why
-	b.orders.Stop = append(b.orders.Stop, peer.StopTask{Task: v.t})
-}
-
-// makes says how many of the victims must end for one more task to fit, and at what cost.
-func (m *machine) makes(now clock.Micros, s *wire.Job, vs []victim) (n int, cost float64, ok bool) {
-	cpus, mem := m.state.CPUs, m.state.Memory
-	if m.making.until > now {
-		cpus += m.making.cpus
-		mem += m.making.mem
-	}
-	for ; ; n++ {
-		if cpus+1e-9 >= s.CPUs && mem+1e-9 >= s.MemoryGB && m.state.GPUs+1e-9 >= s.GPUs {
-			return n, cost, true
+// makes says which victims must leave for one more task to fit, and at what cost; own: only
+// those of its team, and of them as much as the task takes.
+func (at *space) makes(s *wire.Job, own bool) (who []int, cost float64, ok bool) {
+	cpus, mem, given := at.cpus, at.mem, 0.0
+	for i := 0; ; i++ {
+		if cpus+1e-9 >= s.CPUs && mem+1e-9 >= s.MemoryGB && (!own || given+1e-9 >= s.CPUs) {
+			return who, cost, true
+		}
+		if i == len(at.victims) {
+			return nil, 0, false
 		}
-		if n == len(vs) {
-			return 0, 0, false
+		v := &at.victims[i]
+		if own && v.h.team != s.Team {
+			continue
 		}
-		cpus += vs[n].h.cpus
-		mem += vs[n].job.rec.Spec.MemoryGB
-		cost += vs[n].cost
+		cpus += v.h.cpus
+		mem += v.mem
+		given += v.h.cpus
+		cost += v.cost
+		who = append(who, i)
 	}
 }
--- a/internal/leader/grants.go
+++ b/internal/leader/grants.go
@@ -29,6 +29,7 @@
 	since      clock.Micros // when it was first seen to run
 	machine    string
 	stopped    string // why it was told to stop, if it was
+	stoppedAt  clock.Micros
 }
 
 type lblock struct {
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -43,9 +43,9 @@
 	head      int         // no task before it waits
 	out       map[int]int // tasks in blocks' grants, and in how many
 	cancelled bool
-	ending    bool // the write of its end is under way
-	okay      bool // one of its tasks has completed
-	errAt     map[string]bool
+	ending    bool                    // the write of its end is under way
+	okay      bool                    // one of its tasks has completed
+	errAt     map[string]clock.Micros // by machine: when one of its tasks last failed there
 	errs      int
 	notBefore clock.Micros
 	replicas  map[int]*replica // of a service, those that ended and were to go on
@@ -62,7 +62,7 @@
 func (l *Leader) addJob(r JobRecord, stamp uint64) *job {
 	n := r.Spec.Tasks
 	s := &r.Spec
-	j := &job{shape: shape{s.CPUs, s.GPUs, s.MemoryGB, fmt.Sprint(s.Types), s.Zone, s.Spot}, rec: r, stamp: stamp, out: map[int]int{}, errAt: map[string]bool{}, replicas: map[int]*replica{}, want: make([]uint64, (n+63)/64)}
+	j := &job{shape: shape{s.CPUs, s.GPUs, s.MemoryGB, fmt.Sprint(s.Types), s.Zone, s.Spot}, rec: r, stamp: stamp, out: map[int]int{}, errAt: map[string]clock.Micros{}, replicas: map[int]*replica{}, want: make([]uint64, (n+63)/64)}
 	for left := n; left > 0; left -= ChunkTasks {
 		n := (min(left, ChunkTasks) + 7) / 8
 		j.chunks = append(j.chunks, chunk{done: make([]byte, n), saved: make([]byte, n)})
@@ -315,6 +315,15 @@
 	r.since = 0
 }
 
+// barredFor is how long a service's replicas stay away from a machine where one failed.
+const barredFor = 30 * clock.Second
+
+// barred says whether a service had better wait than try a machine again.
+func (j *job) barred(now clock.Micros, m *machine) bool {
+	at, ok := j.errAt[m.name]
+	return ok && j.rec.Spec.Standing() && now-at < barredFor
+}
+
 // retry lets replicas wait again whose pause is over.
 func (l *Leader) retry(now clock.Micros, j *job) {
 	for i, r := range j.replicas {
@@ -344,7 +353,7 @@
 // errored tells faulty machines from jobs that fail everywhere.
 func (l *Leader) errored(now clock.Micros, j *job, name string) {
 	j.errs++
-	j.errAt[name] = true
+	j.errAt[name] = now
 	standing := j.rec.Spec.Standing()
 	j.okay = j.okay || standing && l.runsWell(now, j)
 	if m := l.machines[name]; m != nil {
@@ -355,7 +364,7 @@
 		m.errs[j.rec.Spec.Ref]++
 		// Two jobs failed in a row here, or one that does well elsewhere.
 		if !m.drain && m.errRun >= 2 && (len(m.errs) >= 2 || j.okay) {
-			l.drain(m, "fails its tasks")
+			l.drain(now, m, "fails its tasks")
 		}
 	}
 	// A service's replicas wait one by one: see fell.
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -51,7 +51,6 @@
 	errRun   int
 	// Room that is left while offers are made; the holder's word in state is not touched.
 	cpus, gpus, mem float64
-	making          making
 }
 
 type rental struct {
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -80,12 +80,12 @@
 	noticed := s.Notice && !m.state.Notice
 	m.state = s
 	if noticed {
-		l.saveTasks(m)
+		l.saveTasks(now, m)
 	}
 }
 
 // saveTasks stops the tasks that can save their progress before their machine goes.
-func (l *Leader) saveTasks(m *machine) {
+func (l *Leader) saveTasks(now clock.Micros, m *machine) {
 	b := m.block
 	var room *freeRoom
 	for t, h := range b.tasks {
@@ -97,13 +97,13 @@
 		moves := false
 		if j.rec.Spec.Standing() && m.state.Notice {
 			if room == nil {
-				room = l.freeRoom()
+				room = l.freeRoom(now)
 			}
 			to, _ := l.roomFor(j, room)
 			moves = to != nil && to != m
 		}
 		if moves {
-			h.stopped = "notice"
+			h.stopped, h.stoppedAt = "notice", now
 		}
 		if moves || j.rec.Spec.CheckpointS > 0 && !j.rec.Spec.Standing() {
 			b.orders.Stop = append(b.orders.Stop, peer.StopTask{Task: t, Save: true})
@@ -111,11 +111,11 @@
 	}
 }
 
-func (l *Leader) drain(m *machine, why string) {
+func (l *Leader) drain(now clock.Micros, m *machine, why string) {
 	m.drain = true
 	b := m.block
 	b.orders.Drain = append(b.orders.Drain, m.name)
-	l.saveTasks(m)
+	l.saveTasks(now, m)
 	l.info("draining machine", "machine", m.name, "why", why)
 }
 
--- a/internal/leader/schedule.go
+++ b/internal/leader/schedule.go
@@ -61,6 +61,7 @@
 	// What services use, and whether the team has other jobs: neither may shut out the other.
 	standing float64
 	mixed    bool
+	urgent   []*job // of production priority, that wait
 	// Whose turn it is within the team, and the team's place among the others; they
 	// change only when the team is served.
 	pick  *queued
@@ -142,10 +143,11 @@
 // takes says whether the team may run one more task of s: within its limit, and with the
 // least share left to its other jobs if s is a service, which never ends by itself.
 func (t *teamQueue) takes(s *wire.Job, floor float64) bool {
-	if s.Standing() && t.mixed && t.standing+s.CPUs > t.team.CPUsMax*(1-floor)+1e-9 {
-		return false
-	}
-	return t.u.takes(s, t.team.CPUsMax, t.team.GPUsMax)
+	return (!s.Standing() || t.mayStand(s, t.standing, floor)) && t.u.takes(s, t.team.CPUsMax, t.team.GPUsMax)
+}
+
+func (t *teamQueue) mayStand(s *wire.Job, standing, floor float64) bool {
+	return !t.mixed || standing+s.CPUs <= t.team.CPUsMax*(1-floor)+1e-9
 }
 
 type offerKey struct {
@@ -171,7 +173,7 @@
 	if len(queues) == 0 {
 		return
 	}
-	room := l.freeRoom()
+	room := l.freeRoom(now)
 	offers := map[offerKey]int{}
 	floor := l.cfg.Tuning.Queues.LeastShare
 	for {
@@ -210,7 +212,7 @@
 			b.offered = true
 		}
 	}
-	l.evict(now)
+	l.evict(now, queues)
 }
 
 // queues sorts the jobs that wait by team.
@@ -237,6 +239,9 @@
 			t.use[aged] += cpus
 		}
 		if j.nWant > 0 && now >= j.notBefore && !j.cancelled {
+			if wire.Rank(s.Priority) == 0 {
+				t.urgent = append(t.urgent, j)
+			}
 			t.q = append(t.q, &queued{j: j, key: l.queueKey(age, j), aged: age > old})
 		}
 	}
@@ -257,7 +262,10 @@
 	if m == nil {
 		return 0
 	}
-	if s.OneZone || s.Spread {
+	if s.Standing() {
+		room.taken(l, j)[m.name] = sibling
+	}
+	if s.OneZone || s.Spread || s.Standing() {
 		n = 1 // each task changes where the next may be
 	}
 	b := m.block
@@ -294,9 +302,39 @@
 // freeRoom is what can be offered in one round. Room only shrinks while offers are
 // made, so a machine that was too full for a shape of task is not looked at again.
 type freeRoom struct {
+	now     clock.Micros
 	ms      []*machine // the cheapest first, the fullest first among these; those at rest last
 	byImage map[string][]*machine
 	passed  map[roomKey]int
+	// By service: the machines that have a replica or get one in this round.
+	apart map[string]map[string]int
+}
+
+// Why a service's next replica had better not go to a machine.
+const (
+	sibling = 1 + iota // another is there: one machine's end must not end all
+	failed             // one failed there
+)
+
+// taken are the machines that a service's next replica had better not go to, and why.
+func (r *freeRoom) taken(l *Leader, j *job) map[string]int {
+	s := &j.rec.Spec
+	on := r.apart[s.Ref]
+	if on == nil {
+		on = map[string]int{}
+		for i := range j.out {
+			for _, b := range l.blocks {
+				if h := b.tasks[peer.Task{Job: s.Ref, Index: i}]; h != nil {
+					on[h.machine] = sibling
+				}
+			}
+		}
+		for name := range j.errAt {
+			on[name] = failed
+		}
+		r.apart[s.Ref] = on
+	}
+	return on
 }
 
 // roomKey names a list of machines as one shape of task sees it: all of them, or
@@ -307,20 +345,17 @@
 	image string
 }
 
-func (l *Leader) freeRoom() *freeRoom {
-	r := &freeRoom{byImage: map[string][]*machine{}, passed: map[roomKey]int{}}
+func (l *Leader) freeRoom(now clock.Micros) *freeRoom {
+	r := &freeRoom{now: now, byImage: map[string][]*machine{}, passed: map[roomKey]int{}, apart: map[string]map[string]int{}}
 	for _, m := range l.machines {
-		if m.state.Fit && !m.drain && !m.shun && !m.deleting && m.state.CPUs > 0 && m.block.state == granted && !m.block.offered {
+		if m.state.Fit && !m.drain && !m.deleting && m.state.CPUs > 0 && m.block.state == granted && !m.block.offered {
 			m.cpus, m.gpus, m.mem = m.state.CPUs, m.state.GPUs, m.state.Memory
 			r.ms = append(r.ms, m)
 		}
 	}
 	slices.SortFunc(r.ms, func(a, b *machine) int {
-		if a.rest != b.rest {
-			if b.rest {
-				return -1
-			}
-			return 1
+		if c := cmp.Compare(a.reserve(), b.reserve()); c != 0 {
+			return c
 		}
 		if c := cmp.Compare(a.opt.Price()/max(a.opt.Type.CPUs, 1), b.opt.Price()/max(b.opt.Type.CPUs, 1)); c != 0 {
 			return c
@@ -331,7 +366,7 @@
 		return cmp.Compare(a.name, b.name)
 	})
 	for _, m := range r.ms {
-		if m.rest {
+		if m.reserve() > 0 {
 			continue
 		}
 		for _, image := range m.state.Images {
@@ -346,8 +381,21 @@
 	return m.cpus+1e-9 >= s.CPUs && m.gpus+1e-9 >= s.GPUs && m.mem+1e-9 >= s.MemoryGB
 }
 
+// reserve tells machines that others go before: those at rest, those not worth their price.
+func (m *machine) reserve() int {
+	switch {
+	case m.shun:
+		return 2
+	case m.rest:
+		return 1
+	}
+	return 0
+}
+
+// allowed says whether the job may run on the machine. One that is not worth its price
+// for a batch is for a service, which makes it worth keeping.
 func (m *machine) allowed(s *wire.Job) bool {
-	return (s.Spot || !m.opt.Spot) && (s.Zone == "" || s.Zone == m.opt.Zone) &&
+	return (!m.shun || s.Standing()) && (s.Spot || !m.opt.Spot) && (s.Zone == "" || s.Zone == m.opt.Zone) &&
 		(len(s.Types) == 0 || slices.Contains(s.Types, m.opt.Type.Name))
 }
 
@@ -356,7 +404,7 @@
 	s := &j.rec.Spec
 	for i := r.passed[k]; i < len(list); i++ {
 		if m := list[i]; m.holds(s) && m.allowed(s) {
-			if len(j.errAt) == 0 || !j.errAt[m.name] {
+			if _, ok := j.errAt[m.name]; !ok {
 				return m
 			}
 		} else if i == r.passed[k] {
@@ -370,7 +418,7 @@
 // zone that the task is bound to, if any.
 func (l *Leader) roomFor(j *job, room *freeRoom) (*machine, string) {
 	s := &j.rec.Spec
-	if s.OneZone || s.Spread {
+	if s.OneZone || s.Spread || s.Standing() {
 		return l.roomInZone(j, room)
 	}
 	if m := room.first(room.byImage[s.Image], roomKey{shape: j.shape, image: s.Image}, j); m != nil {
@@ -381,33 +429,39 @@
 	}
 	// Better where it failed before than nowhere.
 	for _, m := range room.ms {
-		if j.errAt[m.name] && m.holds(s) && m.allowed(s) {
+		if _, ok := j.errAt[m.name]; ok && m.holds(s) && m.allowed(s) {
 			return m, ""
 		}
 	}
 	return nil, ""
 }
 
-// roomInZone is roomFor for jobs whose tasks bind each other's zone.
+// roomInZone is roomFor for jobs whose tasks bind each other's place.
 func (l *Leader) roomInZone(j *job, room *freeRoom) (*machine, string) {
 	s := &j.rec.Spec
 	zones := l.zones(j)
-	var again *machine
-	for _, m := range room.ms {
-		if !m.holds(s) || !m.allowed(s) || !zones.allow(m.opt.Zone) {
-			continue
-		}
-		if !j.errAt[m.name] {
-			return m, m.opt.Zone
-		}
-		if again == nil {
-			again = m
+	avoid := room.taken(l, j)
+	var best *machine
+	for _, list := range [][]*machine{room.byImage[s.Image], room.ms} {
+		for _, m := range list {
+			if !m.holds(s) || !m.allowed(s) || !zones.allow(m.opt.Zone) || j.barred(room.now, m) {
+				continue
+			}
+			if best == nil || avoid[m.name] < avoid[best.name] {
+				best = m
+			}
+			if avoid[best.name] == 0 {
+				break
+			}
 		}
 	}
-	if again == nil {
+	switch {
+	case best == nil:
 		return nil, ""
+	case s.OneZone || s.Spread:
+		return best, best.opt.Zone
 	}
-	return again, again.opt.Zone
+	return best, ""
 }
 
 // zones is where the tasks of a job are, and so where more of them may be.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -110,9 +110,10 @@
 	Types              []string
 	Spot               bool
 	CPUs, GPUs, Memory float64
-	// Avoid names machines that are taken only when no other is left, among them, when
-	// Apart, those that have one of the group's tasks: one machine's end must not end all.
-	Avoid map[string]bool
+	// Avoid names machines that are taken only when no other is left, the more so the
+	// higher the number. Apart: those that get one of the group's tasks are added with 1,
+	// as one machine's end must not end all.
+	Avoid map[string]int
 	Apart bool
 }
 
@@ -169,7 +170,7 @@
 			b.Visit(t.g.Image, m.Name, now)
 			c.holders(t.g.Image)[t.at] = true
 			if t.g.Apart {
-				t.g.Avoid[m.Name] = true
+				t.g.Avoid[m.Name] = max(t.g.Avoid[m.Name], 1)
 			}
 			out = append(out, Match{t.g, t.index, m})
 		}
@@ -255,7 +256,7 @@
 			continue
 		}
 		m := c.machines[j]
-		if !g.Fits(m) || g.Avoid[m.Name] {
+		if !g.Fits(m) || g.Avoid[m.Name] > 0 {
 			continue
 		}
 		if s := c.book.decayed(v, m, c.p.K, c.now); s > c.p.Eta {
@@ -360,9 +361,9 @@
 
 // seat is a machine as a fallback.
 type seat struct {
-	at, unstarted   int
-	cached, avoided bool
-	cpus            float64
+	at, unstarted, avoided int
+	cached                 bool
+	cpus                   float64
 }
 
 // seats is a heap, the best fallback first: one that is not avoided; the fewest unstarted tasks; among these one
@@ -374,7 +375,7 @@
 	a, b := &s[i], &s[j]
 	switch {
 	case a.avoided != b.avoided:
-		return b.avoided
+		return a.avoided < b.avoided
 	case a.unstarted != b.unstarted:
 		return a.unstarted < b.unstarted
 	case a.cached != b.cached:
@@ -412,7 +413,7 @@
 	out := make(seats, 0, len(c.machines))
 	for j, m := range c.machines {
 		if c.owner[j] < 0 && g.Fits(m) {
-			out = append(out, seat{j, m.Unstarted, has[j], g.Avoid[m.Name], m.CPUs})
+			out = append(out, seat{j, m.Unstarted, g.Avoid[m.Name], has[j], m.CPUs})
 		}
 	}
 	heap.Init(&out)
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"swiftledge/internal/clock"
 	"swiftledge/internal/config"
 	"swiftledge/internal/leader"
+	"swiftledge/internal/standin"
 	"swiftledge/wire"
 )
 
@@ -64,6 +66,9 @@
 	f.Workers.ReportS, f.Workers.LeaseS, f.Workers.CancelS = 3, 20, 45
 	f.State.RPS, f.State.WriteRPS = 100, 20
 	f.State.ValueKB, f.State.TxnOps = float64(arg(t, d, "value_kb", 4)), 8
+	if d.HasArg("next") {
+		f.State.Next = &config.Next{WriteRPS: 15, ValueKB: 2, TxnOps: 4}
+	}
 	f.Cloud.RPS, f.Cloud.ListLagS = 4, 4
 	f.Quota.CPU, f.Quota.MemMB, f.Quota.MaxSockets = 0.1, 125, 1500
 	types := []wire.MachineType{
@@ -72,6 +77,12 @@
 	}
 	w := newWorld(cfg, types, uint64(arg(t, d, "seed", 1)))
 	w.cloud.Capacity = arg(t, d, "capacity", 0)
+	if d.HasArg("old") {
+		for _, n := range w.nodes {
+			n.old = true
+			n.start()
+		}
+	}
 	for i := range arg(t, d, "machines", 0) {
 		m := w.cloud.Add(0, "small", f.Zones[i%2], arg(t, d, "spot", false))
 		m.UpAt, m.Listed = 0, 0
@@ -110,6 +121,9 @@
 		"reckonS": float64(arg(t, d, "run", 10)), "waypointS": float64(arg(t, d, "waypoint", 0)), "stashS": 2.0, "dueS": due})
 	must(err)
 	w.runS[ref] = float64(arg(t, d, "run", 10))
+	if arg(t, d, "shape", wire.Batch) == wire.Service {
+		w.runS[ref] = float64(arg(t, d, "ends", 0))
+	}
 	return body
 }
 
@@ -157,9 +171,12 @@
 	case "start":
 		for _, n := range w.nodes {
 			if !n.alive {
+				n.old = d.HasArg("old")
 				n.start()
 			}
 		}
+	case "limits":
+		w.store.Lower(w.next.ValueKB, w.next.TxnOps)
 	case "node":
 		for _, n := range w.pick(t, d) {
 			n.refused = d.HasArg("refused")
@@ -180,7 +197,11 @@
 			w.store.Up(w.now)
 		}
 	case "worker":
+		of := arg(t, d, "of", "")
 		for _, s := range w.workers[arg(t, d, "from", 0):arg(t, d, "to", len(w.workers))] {
+			if of != "" && !slices.Contains(w.where(of), s) {
+				continue
+			}
 			s.cut = d.HasArg("cut")
 			s.deaf = d.HasArg("deaf")
 			s.copies = span(t, d, "copies")
@@ -273,6 +294,33 @@
 		return fmt.Sprintf("once %d, repeated %d", once, more)
 	case "on":
 		return fmt.Sprint(w.on(ref))
+	case "on_machines":
+		return fmt.Sprint(len(w.where(ref)))
+	case "back":
+		// How soon as many tasks are on machines again.
+		n, end := arg(t, d, "tasks", 1), w.now+span(t, d, "within")
+		for w.on(ref) < n {
+			if w.now >= end {
+				return fmt.Sprintf("%d of %d", w.on(ref), n)
+			}
+			w.run(step)
+		}
+		return "in time"
+	case "starts":
+		if n, most := w.starts[ref], arg(t, d, "most", 1); n > most {
+			return fmt.Sprintf("%d, more than %d", n, most)
+		}
+		return "few"
+	case "largest":
+		items, _ := w.store.List(arg(t, d, "prefix", ""))
+		n := 0
+		for _, it := range items {
+			n = max(n, len(it.Value))
+		}
+		if n > arg(t, d, "most", 2048) {
+			return "over"
+		}
+		return "within"
 	case "machines":
 		n := 0
 		for _, m := range w.cloud.Machines {
@@ -320,6 +368,16 @@
 	return out
 }
 
+// where lists the machines that a job's tasks are on.
+func (w *world) where(ref string) (out []*simWorker) {
+	for _, s := range w.workers {
+		if !s.dead && slices.ContainsFunc(s.Tasks, func(t *standin.Task) bool { return t.Job.Ref == ref && t.Holds() }) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // on counts a job's tasks that are on machines.
 func (w *world) on(ref string) (n int) {
 	for _, s := range w.workers {
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -68,6 +68,8 @@
 	aborted map[string]clock.Micros // when the user was told
 	broken  []string
 	ran     map[string]int          // completed runs by task
+	starts  map[string]int          // by job: how often one of its tasks began to run
+	next    *config.Next            // limits that the settings name for later
 	sent    map[string]clock.Micros // when a job was accepted
 	begun   map[string]clock.Micros // when its first task ran
 	stop    context.CancelFunc
@@ -102,6 +104,7 @@
 	loseAnswers int  // of the state service, while the requests are carried out
 	holdUntil   clock.Micros
 	frozenUntil clock.Micros // it stands still while its clocks run on
+	old         bool         // it goes by today's limits alone, as the version in production did
 	cfg         config.Config
 	elector     *election.Elector
 	leader      *leader.Leader
@@ -154,7 +157,7 @@
 		store:  standin.NewStore(cfg.Facts.State.ValueKB, cfg.Facts.State.TxnOps),
 		cloud:  standin.NewCloud(types, clock.FromSeconds(cfg.Facts.Cloud.ListLagS)),
 		byName: map[string]*simWorker{}, holds: map[string][]held{},
-		jobs: map[string]wire.Job{}, runS: map[string]float64{}, aborted: map[string]clock.Micros{}, ran: map[string]int{}, sent: map[string]clock.Micros{}, begun: map[string]clock.Micros{}}
+		jobs: map[string]wire.Job{}, runS: map[string]float64{}, aborted: map[string]clock.Micros{}, ran: map[string]int{}, starts: map[string]int{}, next: cfg.Facts.State.Next, sent: map[string]clock.Micros{}, begun: map[string]clock.Micros{}}
 	for i := range cfg.Facts.InitialSize {
 		n := &simNode{w: w, i: i, name: fmt.Sprintf("n%d", i), cfg: cfg}
 		n.cfg.Name = n.name
@@ -256,6 +259,7 @@
 
 // started judges the rules that can break when a task begins to run.
 func (w *world) started(at *simWorker, t *standin.Task) {
+	w.starts[t.Job.Ref]++
 	if _, ok := w.begun[t.Job.Ref]; !ok {
 		w.begun[t.Job.Ref] = w.now
 	}
@@ -395,6 +399,10 @@
 func (n *simNode) start() {
 	n.gen++
 	n.alive, n.frozenUntil = true, 0
+	n.cfg.Facts.State.Next = n.w.next
+	if n.old {
+		n.cfg.Facts.State.Next = nil
+	}
 	n.epoch, n.link, n.leaderRev, n.jobEpoch = 0, nil, 0, 0
 	ok := n.reaches
 	n.elector = election.New(election.Record{Node: n.name, Run: uint64(n.gen)*100 + uint64(n.i)}, clock.FromSeconds(n.cfg.Tuning.Election.TTLS))
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -43,6 +43,11 @@
 	return &Store{ValueMax: int(valueKB * 1024), TxnOps: txnOps, items: map[string]wire.Item{}, leases: map[uint64]*lease{}}
 }
 
+// Lower sets other limits; what is stored stays readable.
+func (s *Store) Lower(valueKB float64, txnOps int) {
+	s.ValueMax, s.TxnOps = int(valueKB*1024), txnOps
+}
+
 // Expire ends leases that were not renewed in time.
 func (s *Store) Expire(now clock.Micros) {
 	if s.Down {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -89,6 +89,9 @@
 			}
 			t.State = wire.Running
 			t.until = now + clock.FromSeconds(w.RunS(&t.Job, t.Index))
+			if t.Job.Standing() && t.until == now {
+				t.until = 0 // until it is stopped
+			}
 			if w.Sick {
 				t.until = now + clock.Second
 			}
