--- /dev/null
+++ b/internal/compat/samples_test.go
@@ -0,0 +1,118 @@
+package compat
+
+import (
+	"encoding/json"
+	"flag"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"swiftledge/internal/block"
+	"swiftledge/internal/config"
+	"swiftledge/internal/election"
+	"swiftledge/internal/leader"
+	"swiftledge/internal/peer"
+	"swiftledge/wire"
+)
+
+// record writes the samples as this version encodes them. It was used once, with this
+// file copied into a checkout of the version in production; see testdata/README.md.
+var record = flag.Bool("record", false, "write testdata")
+
+// form is one thing that crosses versions: a store value or a message.
+type form struct {
+	name  string
+	value any // as this version has it
+}
+
+var due = 90.5
+
+var batch = wire.Job{Ref: "j-000412", Class: "train", Team: "vision", Shape: "batch", Priority: "high", Tasks: 16, CPUs: 8, GPUs: 1, MemoryGB: 64,
+	Image: "img-07", ImageGB: 6.2, Types: []string{"g8"}, Zone: "a", OneZone: true, Spread: true, Spot: true, EstimateS: 240, CheckpointS: 30, SaveS: 4, DeadlineS: &due}
+
+var page = peer.RecordPage{Token: 7<<12 | 3, Prefix: "host-0000", Machines: []string{"01", "02"}, Groups: []peer.RecordGroup{
+	{Job: "j-000412", Team: "vision", CPUs: 8, GPUs: 1, Memory: 64, SaveS: 4, Ckpt: 30, Image: "img-07", ImageGB: 6.2, Starts: []int{3, 1, 0, 4, 2, 1}}}}
+
+var g8 = wire.MachineType{Name: "g8", CPUs: 96, GPUs: 8, MemoryGB: 768, CacheGB: 200, FetchGBPS: 1, Price: 12, SpotPrice: 4.5, BootS: 45, ZoneNames: []string{"a", "b"}}
+
+// jsonForms are the values in the state service.
+func jsonForms() []form {
+	return []form{
+		{"leader", election.Record{Node: "n1", Run: 77}},
+		{"layout", leader.LayoutRecord{Blocks: 6}},
+		{"catalog", wire.Catalog{Types: []wire.MachineType{g8}}},
+		{"job", leader.JobRecord{Spec: batch, At: 1234567}},
+		{"over", leader.EndRecord{State: wire.Done, Tasks: 16}},
+		{"prog", leader.ProgRecord{Units: []leader.ProgUnit{{Job: "j-000412", Chunk: 1, Bits: []byte{5, 255}}, {Job: "j-000413", Bits: []byte{1}}}}},
+		{"block", leader.BlockRecord{Token: 7<<12 | 3, Holder: "n2", Run: 78}},
+		{"run", page},
+		{"fleet", leader.FleetRecord{Rental: wire.Rental{Request: "r-7-1", Type: "g8", Zone: "a", Spot: true, Count: 2}, Machines: []string{"host-000001"}, Asked: true}},
+	}
+}
+
+// messageForms go between controllers.
+func messageForms() []form {
+	task := peer.Task{Job: "j-000412", Index: 3}
+	return []form{
+		{"hello", peer.Hello{Node: "n1", Run: 77, Epoch: 7}},
+		{"up", peer.Up{Epoch: 7, Renew: 9, StoreOK: true, Blind: true, Updates: []peer.BlockUpdate{{Block: 2, Token: 7<<12 | 3, Seq: 4, Lost: true,
+			Events:   []peer.Event{{Task: task, Kind: peer.Done, Machine: "host-000001", Secs: 12.5}},
+			Machines: []peer.MachineState{{Name: "host-000001", Type: "g8", Zone: "a", Address: "10.1.0.1:9000", Spot: true, Fit: true, Silent: true, Notice: true, Gone: true, Shown: true, CPUs: 1.5, GPUs: 2, Memory: 3, Tasks: 4, Images: []string{"img-07"}}}}}}},
+		{"down", peer.Down{Epoch: 7, Renewed: 9, Tokens: map[int]uint64{2: 7<<12 | 3}, Holders: []string{"n1", "n2"},
+			Counts: []peer.TaskCount{{Job: "j-000412", Done: 3, Running: 13}}, Types: []wire.MachineType{g8}, StoreOK: true,
+			Grants: []peer.Grant{{Block: 2, Token: 7<<12 | 3, Stamp: 99, Pages: map[string]peer.RecordPage{"run/002/28675-1": page}, Machines: []peer.RosterMachine{{Name: "host-000001", Address: "10.1.0.1:9000"}}}},
+			Orders: []peer.BlockOrders{{Block: 2, Token: 7<<12 | 3, Seq: 4, Offers: []peer.Offer{{Job: batch, Zone: "a", Indexes: []int{3, 4}}}, Stop: []peer.StopTask{{Task: task, Save: true}},
+				Stored: []peer.Task{task}, Use: []string{"host-000002"}, Drain: []string{"host-000003"}, Gone: []string{"host-000004"}, Rest: []string{"host-000005"}, Wake: []string{"host-000006"}}}}},
+	}
+}
+
+// choices are what all controllers must make alike.
+type choices struct {
+	Blocks      map[string]int
+	BlockKey    string
+	RecordKeys  string
+	AttemptBits int
+	ChunkTasks  int
+	GrantTime   int64
+	TaskName    string
+}
+
+func ours() choices {
+	c := choices{Blocks: map[string]int{}, BlockKey: block.Key(2), RecordKeys: block.RecordPrefix(2), AttemptBits: peer.AttemptBits,
+		ChunkTasks: leader.ChunkTasks, TaskName: block.TaskName(peer.Task{Job: "j-000412", Index: 3})}
+	for _, m := range []string{"host-000000", "host-000001", "host-000231", "host-123456"} {
+		c.Blocks[m] = block.Of(m, 6)
+	}
+	cfg := config.Config{Tuning: config.DefaultTuning()}
+	cfg.Facts.Workers.LeaseS, cfg.Facts.Workers.CancelS = 22, 52
+	c.GrantTime = int64(cfg.GrantTime())
+	return c
+}
+
+func write(t *testing.T, name string, raw []byte, err error) {
+	t.Helper()
+	if err == nil {
+		err = os.WriteFile(filepath.Join("testdata", name), raw, 0o644)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestRecord(t *testing.T) {
+	if !*record {
+		t.Skip("only on demand")
+	}
+	for _, f := range jsonForms() {
+		raw, err := json.Marshal(f.value)
+		write(t, f.name+".json", raw, err)
+	}
+	for _, f := range messageForms() {
+		raw, err := msgpack.Marshal(f.value)
+		write(t, f.name+".msgpack", raw, err)
+	}
+	raw, err := json.MarshalIndent(ours(), "", "  ")
+	write(t, "choices.json", append(raw, '\n'), err)
+}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -28,6 +28,22 @@
 	return d
 }
 
+// source is what messages are read from. Through the state service a large message comes in
+// many letters: there each piece of it, not the whole, has to come in time.
+func source(c net.Conn, slow bool) *bufio.Reader {
+	if slow {
+		return bufio.NewReaderSize(trickle{c}, 8192)
+	}
+	return bufio.NewReaderSize(c, 8192)
+}
+
+type trickle struct{ net.Conn }
+
+func (t trickle) Read(p []byte) (int, error) {
+	t.Conn.SetReadDeadline(time.Now().Add(relayTimeout))
+	return t.Conn.Read(p)
+}
+
 // Link is one connection between a follower and the leader.
 type Link struct {
 	Peer Hello
@@ -85,7 +101,9 @@
 	defer close(l.done)
 	defer l.conn.Close()
 	for {
-		l.conn.SetReadDeadline(time.Now().Add(patience(l.slow, readTimeout)))
+		if !l.slow {
+			l.conn.SetReadDeadline(time.Now().Add(readTimeout))
+		}
 		m := new(T)
 		if l.dec.Decode(m) != nil {
 			return
@@ -110,7 +128,7 @@
 func greet(c net.Conn, addr string, h Hello, slow bool) (*Link, error) {
 	c.SetDeadline(time.Now().Add(patience(slow, writeTimeout)))
 	var back Hello
-	dec := msgpack.NewDecoder(bufio.NewReaderSize(c, 8192))
+	dec := msgpack.NewDecoder(source(c, slow))
 	raw, err := msgpack.Marshal(h)
 	if err == nil {
 		_, err = c.Write(raw)
@@ -135,7 +153,7 @@
 // Accept answers a follower's Hello if agree allows it, then reads until the link ends.
 func Accept(c net.Conn, slow bool, me Hello, agree func(Hello) bool, joined func(*Link), f func(*Link, *Up), left func(*Link)) {
 	c.SetDeadline(time.Now().Add(patience(slow, writeTimeout)))
-	dec := msgpack.NewDecoder(bufio.NewReaderSize(c, 8192))
+	dec := msgpack.NewDecoder(source(c, slow))
 	var h Hello
 	if dec.Decode(&h) != nil {
 		c.Close()
