--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -106,6 +106,7 @@
 	wall                                                                clock.Micros       // the time of day less the steady clock
 	within                                                              map[string]float64 // by class: in how many seconds its jobs are expected done
 	teams                                                               map[string]config.Team
+	awaited                                                             map[string]float64 // by class: in how many seconds its tasks are expected to start
 }
 
 type use struct{ cpus, gpus float64 }
@@ -123,11 +124,14 @@
 
 // New makes a leader that does not lead yet.
 func New(cfg *config.Config, storeOK func() bool) *Leader {
-	l := &Leader{cfg: cfg, self: cfg.Name, storeOK: storeOK, within: map[string]float64{}, teams: map[string]config.Team{}}
+	l := &Leader{cfg: cfg, self: cfg.Name, storeOK: storeOK, within: map[string]float64{}, awaited: map[string]float64{}, teams: map[string]config.Team{}}
 	for _, o := range cfg.Facts.Objectives {
 		if o.Kind == "finished" {
 			l.within[o.Class] = o.WithinS
 		}
+		if o.Kind == "wait" {
+			l.awaited[o.Class] = o.WithinS
+		}
 	}
 	for _, t := range cfg.Facts.Teams {
 		l.teams[t.Name] = t
@@ -137,7 +141,7 @@
 }
 
 func (l *Leader) reset() {
-	*l = Leader{cfg: l.cfg, within: l.within, teams: l.teams, self: l.self, storeOK: l.storeOK, nodes: map[string]*node{}, jobs: map[string]*job{}, usage: map[string]*use{},
+	*l = Leader{cfg: l.cfg, within: l.within, awaited: l.awaited, teams: l.teams, self: l.self, storeOK: l.storeOK, nodes: map[string]*node{}, jobs: map[string]*job{}, usage: map[string]*use{},
 		machines: map[string]*machine{}, rentals: map[string]*rental{}, gone: map[string]bool{}, types: map[string]wire.MachineType{},
 		refused: map[fleet.OptionKey]refusal{}, classes: map[string]*classStat{}, found: map[string]wire.Machine{}, counts: map[string]peer.TaskCount{}}
 }
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -442,6 +442,9 @@
 		}
 	}
 	l.reserve(now, byShape)
+	if warm := l.warm(); warm != nil {
+		needs = append(needs, warm)
+	}
 	flat := make([]fleet.Need, len(needs))
 	for i, n := range needs {
 		flat[i] = *n
@@ -552,6 +555,32 @@
 	}
 }
 
+// warmCPUs are kept up, in ordinary machines, for each class that is expected to start
+// sooner than a machine boots and of which no job is known: what it takes is not known
+// either, so this is for its first few jobs only.
+const warmCPUs = 24
+
+func (l *Leader) warm() *fleet.Need {
+	known := map[string]bool{}
+	for _, j := range l.jobs {
+		known[j.rec.Spec.Class] = true
+	}
+	boot := math.Inf(1)
+	for _, t := range l.typeList {
+		boot = min(boot, t.BootS)
+	}
+	n := 0
+	for class, within := range l.awaited {
+		if !known[class] && within < boot*1.5+10 {
+			n += warmCPUs
+		}
+	}
+	if n == 0 {
+		return nil
+	}
+	return &fleet.Need{CPUs: 1, Memory: 2, Tasks: n, Seconds: math.Inf(1)}
+}
+
 // stuckAfter is how long a rental is without an answer before the cloud counts as away.
 const stuckAfter = 10 * clock.Second
 
