--- /dev/null
+++ b/internal/block/compact.go
@@ -0,0 +1,130 @@
+package block
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+
+	"swiftledge/internal/clock"
+	"swiftledge/internal/peer"
+	"swiftledge/internal/store"
+	"swiftledge/wire"
+)
+
+const (
+	// compactEvery is the pause between two compactions of a block.
+	compactEvery = clock.Second
+	// wasteful is how many records of attempts that are gone make one worth its puts.
+	wasteful = 24
+)
+
+// Compact replaces pages by one that holds what of them is not proven gone. A replica that
+// stands for hours would else keep a page full of records of tasks long over, which count
+// in full, are read at each takeover and sent with each grant.
+type Compact struct {
+	Block  int
+	Token  uint64
+	Stamp  uint64
+	Put    PageWrite
+	Delete []string
+}
+
+// Compacted is its end; Revision is the new page's version, or 0 when it is not known.
+type Compacted struct {
+	Block    int
+	Token    uint64
+	OK       bool
+	Fenced   bool
+	Revision uint64
+}
+
+// Txn is guarded on the block's key, and on the new page not to be there: a copy that is
+// applied late must not bring it back over a newer one.
+func (c Compact) Txn() (wire.Txn, error) {
+	t, err := Record{Block: c.Block, Stamp: c.Stamp, Pages: []PageWrite{c.Put}}.Txn()
+	for _, k := range c.Delete {
+		t.Then = append(t.Then, wire.Write{Delete: k})
+	}
+	return t, err
+}
+
+// Settled is what the outcome of the transaction means; see Record.Settled.
+func (c Compact) Settled(o store.Outcome) Compacted {
+	r := Record{Block: c.Block, Token: c.Token}.Settled(o)
+	return Compacted{Block: c.Block, Token: c.Token, OK: r.OK, Fenced: r.Fenced, Revision: r.Revision}
+}
+
+// waste is how many records of the page's stored value name attempts that are gone.
+func (p *page) waste() int { return p.stored - len(p.recs) }
+
+// compact looks for pages of one grant, this or an earlier one, whose value is mostly waste,
+// and puts what is left of them on one page. It does not hold up the cycles: the pages
+// that it takes are theirs no more.
+func (h *Holder) compact(now clock.Micros, b *blk) {
+	if b.compacting != nil || now-b.compactedAt < compactEvery || now >= b.expires {
+		return
+	}
+	b.compactedAt = now
+	var pages []*page
+	for _, p := range b.pages {
+		if len(p.recs) > 0 && p.waste() > len(p.recs) && (b.writing == nil || !slices.Contains(b.writing.pages, p)) {
+			pages = append(pages, p)
+		}
+	}
+	if len(pages) == 0 {
+		return
+	}
+	slices.SortStableFunc(pages, func(a, c *page) int { return cmp.Compare(c.waste(), a.waste()) })
+	token := pages[0].token
+	pager := peer.NewPager(token, h.p.ValueBytes)
+	var from []*page
+	var recs []*rec
+	var gone []string
+	waste := 0
+	for _, p := range pages {
+		if p.token != token || len(gone)+1+len(p.also) >= h.p.TxnOps {
+			continue
+		}
+		if !slices.ContainsFunc(p.recs, func(r *rec) bool { return !pager.Add(r.group, r.task.Index, r.attempt, r.m.name) }) {
+			from = append(from, p)
+			recs = append(recs, p.recs...)
+			gone = append(append(gone, p.key), p.also...)
+			waste += p.waste()
+			continue
+		}
+		break // part of it may be in the pager: that does no harm, a record more is an upper bound
+	}
+	if waste < wasteful || len(from) == 0 {
+		return
+	}
+	b.pageSeq++
+	to := &page{key: RecordPrefix(b.id) + strconv.FormatUint(b.token, 10) + "-" + strconv.Itoa(b.pageSeq), token: token, stored: pager.Count(), also: gone, busy: true}
+	for _, r := range recs {
+		to.add(r)
+	}
+	b.pages = append(slices.DeleteFunc(b.pages, func(p *page) bool { return slices.Contains(from, p) }), to)
+	b.compacting = to
+	h.emit(Compact{Block: b.id, Token: b.token, Stamp: b.stamp, Put: PageWrite{Key: to.key, Page: pager.Page()}, Delete: gone})
+}
+
+func (h *Holder) compacted(m Compacted) {
+	b := h.blocks[m.Block]
+	if b == nil || b.token != m.Token {
+		return
+	}
+	if m.Fenced {
+		h.void(b)
+		return
+	}
+	p := b.compacting
+	if p == nil {
+		return
+	}
+	b.compacting, p.busy = nil, false
+	// Unless it is known to be there, and the others gone, all of them are erased in the end.
+	if m.OK {
+		p.also = nil
+	}
+	p.version = m.Revision
+	p.fixed = p.token != b.token || m.Revision == 0
+}
--- a/internal/block/cycle.go
+++ b/internal/block/cycle.go
@@ -16,8 +16,12 @@
 type page struct {
 	key     string
 	version uint64
-	recs    []*rec // whose attempts are not proven gone
-	fixed   bool   // never written again
+	recs    []*rec   // whose attempts are not proven gone
+	fixed   bool     // never written again
+	token   uint64   // of the grant whose attempts it names
+	stored  int      // how many records its stored value has
+	also    []string // keys that may hold its records, too
+	busy    bool     // it is being written in place of others
 	empty   clock.Micros
 }
 
@@ -133,7 +137,7 @@
 func newCycleWriter(h *Holder, b *blk) *cycleWriter {
 	w := &cycleWriter{h: h, b: b, cw: &cycleWrite{seq: b.writeSeq + 1}}
 	for _, p := range b.pages {
-		if !p.fixed {
+		if !p.fixed && !p.busy {
 			w.usable = append(w.usable, p)
 		}
 	}
@@ -186,7 +190,7 @@
 	}
 	w.pager = peer.NewPager(w.b.token, w.h.p.ValueBytes)
 	w.b.pageSeq++
-	p := &page{key: RecordPrefix(w.b.id) + strconv.FormatUint(w.b.token, 10) + "-" + strconv.Itoa(w.b.pageSeq)}
+	p := &page{key: RecordPrefix(w.b.id) + strconv.FormatUint(w.b.token, 10) + "-" + strconv.Itoa(w.b.pageSeq), token: w.b.token}
 	w.b.pages = append(w.b.pages, p)
 	w.cw.pages = append(w.cw.pages, p)
 }
@@ -196,6 +200,7 @@
 		return
 	}
 	p := w.cw.pages[len(w.cw.pages)-1]
+	p.stored = w.pager.Count()
 	w.out = append(w.out, PageWrite{Key: p.key, Version: p.version, Page: w.pager.Page()})
 	w.pager = nil
 }
@@ -262,14 +267,14 @@
 func (h *Holder) tidy(now clock.Micros, b *blk) {
 	b.pages = slices.DeleteFunc(b.pages, func(p *page) bool {
 		switch {
-		case len(p.recs) > 0 || b.writing != nil && slices.Contains(b.writing.pages, p):
+		case len(p.recs) > 0 || p.busy || b.writing != nil && slices.Contains(b.writing.pages, p):
 			p.empty = 0
 			return false
 		case p.empty == 0:
 			p.empty = now
 		}
 		if p.fixed || now-p.empty > 5*clock.Second {
-			b.erase = append(b.erase, p.key)
+			b.erase = append(append(b.erase, p.key), p.also...)
 			return true
 		}
 		return false
--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -75,6 +75,8 @@
 	writeSeq     int
 	pages        []*page // in the order in which they came
 	writing      *cycleWrite
+	compacting   *page
+	compactedAt  clock.Micros
 	erase        []string
 	erasedAt     clock.Micros
 	machines     map[string]*machine
@@ -150,6 +152,8 @@
 		h.inspected(now, m)
 	case Recorded:
 		h.recorded(now, m)
+	case Compacted:
+		h.compacted(m)
 	case Tick:
 		h.tick(now)
 	}
@@ -234,11 +238,12 @@
 	var over []*rec
 	for _, key := range slices.Sorted(maps.Keys(g.Pages)) {
 		src := g.Pages[key]
-		pg := &page{key: key, fixed: true}
+		pg := &page{key: key, fixed: true, token: src.Token}
 		for i := range src.Groups {
 			grp := &src.Groups[i]
 			// The leader hands out no page that cannot be read in full.
 			records, _ := src.Records(grp)
+			pg.stored += len(records)
 			for _, r := range records {
 				m := b.machine(r.Machine)
 				if m.find(r.Attempt) != nil {
@@ -525,6 +530,7 @@
 		h.askAnew(b)
 	}
 	h.tidy(now, b)
+	h.compact(now, b)
 }
 
 // flushEvery is how long what the leader is to know is gathered, so that many
--- a/internal/leader/grants.go
+++ b/internal/leader/grants.go
@@ -26,6 +26,7 @@
 	cpus, gpus float64
 	zone       string
 	running    bool
+	inherited  bool         // from the start records of an earlier grant
 	since      clock.Micros // when it was first seen to run
 	machine    string
 	stopped    string // why it was told to stop, if it was
@@ -135,6 +136,10 @@
 		// One that heard no worker is tried with a single block first.
 		trying := n.blindAt > 0 && now-n.tried < blindFor/2
 		for _, b := range l.blocks {
+			// Through the state service a grant may take longer than its workers' leases last.
+			if n.slow && count[b.holder] <= l.answerable() {
+				continue
+			}
 			if b.state == granted && count[b.holder] >= count[to]+2 && now-n.joined > 2*clock.Second && !trying {
 				b.holder, n.tried = to, now
 				todo = append(todo, b)
@@ -161,8 +166,14 @@
 	f := &l.cfg.Facts
 	size := max(f.InitialSize, 1)
 	share := (len(l.blocks)+size-1)/size + max(1, len(l.blocks)/6)
+	return max(share, l.answerable())
+}
+
+// answerable is of how many blocks one controller can answer all workers.
+func (l *Leader) answerable() int {
+	f := &l.cfg.Facts
 	able := f.Quota.CPU / reportCost * f.Workers.ReportS / max(1, float64(len(l.machines))) * float64(len(l.blocks))
-	return max(share, int(min(able, float64(len(l.blocks)))))
+	return int(min(able, float64(len(l.blocks))))
 }
 
 // patience is how long blocks beyond that wait for a holder to come back: the last
@@ -263,7 +274,7 @@
 				if b.tasks[t] != nil {
 					continue
 				}
-				h := &held{team: g.Team, cpus: g.CPUs, gpus: g.GPUs, machine: r.Machine}
+				h := &held{team: g.Team, cpus: g.CPUs, gpus: g.GPUs, machine: r.Machine, inherited: true}
 				if mc := l.machines[r.Machine]; mc != nil {
 					h.zone = mc.opt.Zone
 				}
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -283,9 +283,11 @@
 		r = &replica{}
 		j.replicas[e.Index] = r
 	}
-	up := 0.0
-	if h.running {
-		up = (now - h.since).Seconds()
+	if h.running || h.inherited && r.since == 0 {
+		up := 0.0
+		if h.running {
+			up = (now - h.since).Seconds()
+		}
 		r.since, r.cause = now, e.Kind
 		if e.Kind == peer.Back && h.stopped != "" {
 			r.cause = h.stopped
@@ -309,6 +311,10 @@
 func (l *Leader) rose(now clock.Micros, j *job, t peer.Task, h *held) {
 	r := j.replicas[t.Index]
 	if r == nil || r.since == 0 {
+		if !h.inherited {
+			l.emit(Log{Debug: true, Text: "replica runs", Args: []any{"task", block.TaskName(t), "machine", h.machine,
+				"after_s", (now + l.wall - j.rec.At).Seconds()}})
+		}
 		return
 	}
 	l.info("replica runs again", "task", block.TaskName(t), "machine", h.machine, "cause", r.cause, "down_s", (now - r.since).Seconds())
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -497,7 +497,9 @@
 			h.running, h.since = true, now
 			if j != nil {
 				j.running++
-				l.rose(now, j, e.Task, h)
+				if j.rec.Spec.Standing() {
+					l.rose(now, j, e.Task, h)
+				}
 			}
 		}
 	case peer.Unplaced, peer.Back, peer.Errored, peer.Done:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -423,6 +423,8 @@
 		go n.inspect(x)
 	case block.Record:
 		go n.record(ctx, x)
+	case block.Compact:
+		go n.compact(ctx, x)
 	case block.Erase:
 		go func() {
 			if _, err := n.store.Once(ctx, store.Lazy, x.Txn()); err != nil {
@@ -495,6 +497,22 @@
 	n.holder <- r.Settled(o)
 }
 
+// compact puts a page of start records in the place of others when there is time for it.
+func (n *Node) compact(ctx context.Context, c block.Compact) {
+	ctx, cancel := context.WithTimeout(ctx, 8*time.Second)
+	defer cancel()
+	t, err := c.Txn()
+	if err != nil {
+		n.log.Error("compact start records", "error", err)
+		return
+	}
+	o, err := n.store.Commit(ctx, store.Lazy, t)
+	if err != nil {
+		n.log.Debug("start records not compacted", "error", err)
+	}
+	n.holder <- c.Settled(o)
+}
+
 type epoch struct {
 	ctx context.Context
 	end context.CancelFunc
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -140,6 +140,14 @@
 	return true
 }
 
+// Count is how many records were gathered.
+func (p *Pager) Count() (n int) {
+	for i := range p.page.Groups {
+		n += len(p.page.Groups[i].Starts) / 3
+	}
+	return n
+}
+
 // Page is what was gathered.
 func (p *Pager) Page() RecordPage {
 	out := p.page
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -746,6 +746,10 @@
 		t, err := x.Txn()
 		must(err)
 		n.commit(t, false, func() bool { return true }, func(o store.Outcome, _ error) { n.holderStep(x.Settled(o)) })
+	case block.Compact:
+		t, err := x.Txn()
+		must(err)
+		n.commit(t, false, func() bool { return true }, func(o store.Outcome, _ error) { n.holderStep(x.Settled(o)) })
 	case block.Erase:
 		n.txn(x.Txn(), func(store.Outcome, error) {})
 	default:
