--- a/internal/block/cycle.go
+++ b/internal/block/cycle.go
@@ -230,6 +230,11 @@
 	}
 	b.writing = nil
 	b.seq, b.tell = b.taken, true
+	if m.TooLarge {
+		// Limits fell below what the settings say: the same again would be refused for ever.
+		h.p.ValueBytes = max(h.p.ValueBytes/2, LeastValue)
+		h.p.TxnOps = max(h.p.TxnOps/2, LeastOps)
+	}
 	for _, p := range w.pages {
 		// Without the new version no guard would protect the next write: what the
 		// page holds, before or after this one, covers all that may run.
--- a/internal/block/holder_test.go
+++ b/internal/block/holder_test.go
@@ -400,3 +400,86 @@
 		t.Errorf("%.0f allocations a report with 2000 machines, %.0f with 10", many, few)
 	}
 }
+
+// A replica that stands must not keep a page full of records of what is over: they would
+// count in full at each takeover and be sent with each grant.
+func TestPagesOfStandingTasksAreCompacted(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		outcome store.Outcome
+		erased  int
+	}{
+		{"answered", store.Outcome{OK: true, Revision: 40}, 1},
+		{"no answer", store.Outcome{Unsure: true}, 3},
+	} {
+		h := holding(t)
+		h.Step(now, Linked{Epoch: 10})
+		pages := map[string]peer.RecordPage{}
+		var run []wire.TaskReport
+		for p := range 2 {
+			g := peer.RecordGroup{Job: task.Job, Team: "red", CPUs: 0.01}
+			for i := range 30 {
+				g.Starts = append(g.Starts, 100*p+i, 100*p+i+1, 0)
+			}
+			pages["run/000/1-"+strconv.Itoa(p)] = peer.RecordPage{Token: 40, Machines: []string{"m1"}, Groups: []peer.RecordGroup{g}}
+			run = append(run, wire.TaskReport{Task: TaskName(peer.Task{Job: task.Job, Index: 100 * p}), Attempt: 40<<peer.AttemptBits | uint64(100*p+1), State: wire.Running})
+		}
+		h.Step(now, &peer.Down{Epoch: 10, Grants: []peer.Grant{{Block: 0, Token: 60, Stamp: 8, Machines: []peer.RosterMachine{{Name: "m1", Address: "a1"}}, Pages: pages}}})
+		h.Step(now, &peer.Down{Epoch: 10, Renewed: h.renew, Tokens: map[int]uint64{0: 60}})
+		h.Step(later(10), beat("m1", 1, 60, run...))
+		var got *Compact
+		for _, e := range h.Step(later(11), Tick{}) {
+			if x, ok := e.(Compact); ok {
+				got = &x
+			}
+		}
+		if got == nil {
+			t.Fatalf("%s: nothing is compacted", c.name)
+		}
+		txn, err := got.Txn()
+		if err != nil || len(txn.Then) != 3 || txn.If[0] != (wire.Guard{Key: Key(0), Version: 8}) || txn.If[1] != (wire.Guard{Key: got.Put.Key}) {
+			t.Fatalf("%s: transaction %+v, %v", c.name, txn, err)
+		}
+		records, err := got.Put.Page.Records(&got.Put.Page.Groups[0])
+		if err != nil || len(records) != 2 || records[0].Attempt != run[0].Attempt || records[1].Attempt != run[1].Attempt {
+			t.Fatalf("%s: the new page names %+v, want what runs", c.name, records)
+		}
+		h.Step(later(12), got.Settled(c.outcome))
+		// Both end: whatever may hold their records is erased.
+		for i := range run {
+			run[i].State, run[i].Cause = wire.Exited, wire.CauseStopped
+		}
+		h.Step(later(13), beat("m1", 2, 60, run...))
+		keys := map[string]bool{}
+		for i := range 60 {
+			for _, e := range h.Step(later(20+10*i), Tick{}) {
+				if x, ok := e.(Erase); ok {
+					for _, k := range x.Keys {
+						keys[k] = true
+					}
+				}
+			}
+			h.Step(later(20+10*i), &peer.Down{Epoch: 10, Renewed: h.renew, Tokens: map[int]uint64{0: 60}})
+		}
+		if !keys[got.Put.Key] || len(keys) != c.erased {
+			t.Errorf("%s: erased %v, want %d keys", c.name, keys, c.erased)
+		}
+	}
+}
+
+// What the state service refuses for its size is tried in smaller pieces, not for ever.
+func TestTooLargeWritesGetSmaller(t *testing.T) {
+	h := holding(t)
+	h.Step(now, beat("m1", 1, 50))
+	fx := h.Step(now, &peer.Down{Epoch: 9, Orders: []peer.BlockOrders{{Block: 0, Token: 50, Seq: 1,
+		Offers: []peer.Offer{{Job: wire.Job{Ref: "j-000009", Team: "red", CPUs: 1, Spot: true, Tasks: 1}, Indexes: []int{0}}}}}})
+	was := h.p
+	for _, e := range fx {
+		if r, ok := e.(Record); ok {
+			h.Step(now, r.Settled(store.Outcome{Malformed: true}))
+		}
+	}
+	if h.p.ValueBytes != was.ValueBytes/2 || h.p.TxnOps != was.TxnOps/2 {
+		t.Errorf("values of %d bytes and %d operations after a refusal, were %d and %d", h.p.ValueBytes, h.p.TxnOps, was.ValueBytes, was.TxnOps)
+	}
+}
--- a/internal/block/messages.go
+++ b/internal/block/messages.go
@@ -71,6 +71,7 @@
 		Fenced   bool
 		Never    bool // certainly not carried out, nor will it be
 		Revision uint64
+		TooLarge bool // the state service takes no transaction as large as that
 	}
 	// Tick lets time pass.
 	Tick struct{}
@@ -142,7 +143,7 @@
 // writes its pages, one write at a time: when a page's guard fails, an earlier try
 // of the same write got no answer, but went through.
 func (r Record) Settled(o store.Outcome) Recorded {
-	done := Recorded{Block: r.Block, Token: r.Token, Seq: r.Seq, OK: o.OK, Fenced: o.FailedOn(Key(r.Block))}
+	done := Recorded{Block: r.Block, Token: r.Token, Seq: r.Seq, OK: o.OK, Fenced: o.FailedOn(Key(r.Block)), TooLarge: o.Malformed}
 	if o.OK {
 		done.Revision = o.Revision
 	}
@@ -177,6 +178,12 @@
 	return t
 }
 
+// Least that values and transactions may hold, whatever the state service answers.
+const (
+	LeastValue = 900
+	LeastOps   = 2
+)
+
 // Params are a Holder's settings.
 type Params struct {
 	Node       string
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -32,6 +32,8 @@
 		{"bad address", strings.Replace(good, "127.0.0.1:4", "nowhere", 1), "", "endpoints.state"},
 		{"no teams", strings.Replace(good, `"teams"`, `"crews"`, 1), "", "facts.teams"},
 		{"two faults", strings.Replace(strings.Replace(good, `"rps":100`, `"rps":0`, 1), `"txn_ops":8`, `"txn_ops":0`, 1), "", "facts.state.txn_ops"},
+		{"limits of later", strings.Replace(good, `"txn_ops":8`, `"txn_ops":8,"next":{"value_kb":2,"txn_ops":4,"write_rps":15}`, 1), "", ""},
+		{"unusable limits of later", strings.Replace(good, `"txn_ops":8`, `"txn_ops":8,"next":{"value_kb":0.5,"txn_ops":4}`, 1), "", "facts.state.next.value_kb"},
 		{"broken", "{", "", "unexpected end"},
 		{"unknown key", good, "placement: {q: 1}", "q"},
 		{"out of range", good, "grants: {time_s: 0}", "grants.time_s"},
@@ -66,3 +68,20 @@
 		t.Errorf("deploy/swiftledge.yaml says %+v, the defaults are %+v", got, DefaultTuning())
 	}
 }
+
+// Limits may fall at any moment: what is written fits the smaller of both from the start.
+func TestTheSmallerLimitsHold(t *testing.T) {
+	var c Config
+	c.Facts.State.ValueKB, c.Facts.State.TxnOps = 4, 8
+	if c.ValueMax() != 4096 || c.TxnOps() != 8 {
+		t.Errorf("%d bytes and %d operations without limits of later", c.ValueMax(), c.TxnOps())
+	}
+	c.Facts.State.Next = &Next{ValueKB: 2, TxnOps: 4}
+	if c.ValueMax() != 2048 || c.ValueBytes() >= 2048 || c.TxnOps() != 4 {
+		t.Errorf("%d bytes, %d used, and %d operations", c.ValueMax(), c.ValueBytes(), c.TxnOps())
+	}
+	c.Facts.State.Next = &Next{ValueKB: 64}
+	if c.ValueMax() != 4096 || c.TxnOps() != 8 {
+		t.Errorf("%d bytes and %d operations with larger limits of later", c.ValueMax(), c.TxnOps())
+	}
+}
--- a/internal/leader/grants.go
+++ b/internal/leader/grants.go
@@ -148,7 +148,7 @@
 		}
 	}
 	for len(todo) > 0 {
-		k := min(len(todo), l.cfg.TxnOps())
+		k := min(len(todo), l.txnOps)
 		l.writeBlocks(todo[:k])
 		todo = todo[k:]
 	}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -106,6 +106,7 @@
 	wall                                                                clock.Micros       // the time of day less the steady clock
 	within                                                              map[string]float64 // by class: in how many seconds its jobs are expected done
 	teams                                                               map[string]config.Team
+	valueBytes, txnOps                                                  int                // most that a value and a transaction hold
 	awaited                                                             map[string]float64 // by class: in how many seconds its tasks are expected to start
 }
 
@@ -141,7 +142,7 @@
 }
 
 func (l *Leader) reset() {
-	*l = Leader{cfg: l.cfg, within: l.within, awaited: l.awaited, teams: l.teams, self: l.self, storeOK: l.storeOK, nodes: map[string]*node{}, jobs: map[string]*job{}, usage: map[string]*use{},
+	*l = Leader{cfg: l.cfg, within: l.within, awaited: l.awaited, valueBytes: l.cfg.ValueBytes(), txnOps: l.cfg.TxnOps(), teams: l.teams, self: l.self, storeOK: l.storeOK, nodes: map[string]*node{}, jobs: map[string]*job{}, usage: map[string]*use{},
 		machines: map[string]*machine{}, rentals: map[string]*rental{}, gone: map[string]bool{}, types: map[string]wire.MachineType{},
 		refused: map[fleet.OptionKey]refusal{}, classes: map[string]*classStat{}, found: map[string]wire.Machine{}, counts: map[string]peer.TaskCount{}}
 }
@@ -602,6 +603,11 @@
 		l.emit(Resign{"the leader key has changed"})
 		return
 	}
+	if m.Outcome.Malformed {
+		// Limits fell below what the settings say: the same again would be refused for ever.
+		l.valueBytes = max(l.valueBytes/2, block.LeastValue)
+		l.txnOps = max(l.txnOps/2, block.LeastOps)
+	}
 	switch tag := m.Tag.(type) {
 	case blocksTag:
 		l.blocksWritten(now, tag, m.Outcome)
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -200,3 +200,134 @@
 		t.Errorf("shunned %v, at rest %v while the cloud is away; want at rest", m.shun, m.rest)
 	}
 }
+
+// granting makes a leader whose blocks are granted, all machines up and empty.
+func granting(t *testing.T, pages map[string]peer.RecordPage) *Leader {
+	t.Helper()
+	l := leading(t)
+	for b := range l.blocks {
+		m := Records{Epoch: 5, Block: b, Token: l.blocks[b].token}
+		if b == block.Of(names[0], 2) {
+			m.Pages = pages
+		}
+		l.Step(began, m)
+	}
+	for b := range l.blocks {
+		u := peer.BlockUpdate{Block: b, Token: l.blocks[b].token}
+		for _, n := range names {
+			if block.Of(n, 2) == b {
+				u.Machines = append(u.Machines, peer.MachineState{Name: n, Type: "small", Zone: "a", Fit: true, Shown: true, CPUs: 4, Memory: 8})
+			}
+		}
+		l.Step(began, Said{Node: "n0", Link: "link", Up: &peer.Up{Epoch: 5, StoreOK: true, Updates: []peer.BlockUpdate{u}}})
+	}
+	return l
+}
+
+// A replica that ends with done runs again, and its worker is told to forget it only after
+// a higher token: a late copy of its order would start it beside the new attempt.
+func TestDoneReplicaRunsAgain(t *testing.T) {
+	page := peer.RecordPage{Machines: names[:1], Groups: []peer.RecordGroup{{Job: spec.Ref, Team: "red", CPUs: 1, Starts: []int{0, 1, 0, 1, 2, 0}}}}
+	l := granting(t, map[string]peer.RecordPage{"p": page})
+	j := l.jobs[spec.Ref]
+	j.rec.Spec.Shape = wire.Service
+	b := l.blocks[block.Of(names[0], 2)]
+	one := peer.Task{Job: spec.Ref, Index: 0}
+	fx := l.Step(began+clock.Second, Said{Node: "n0", Link: "link", Up: &peer.Up{Epoch: 5, Updates: []peer.BlockUpdate{{Block: b.id, Token: b.token,
+		Events: []peer.Event{{Task: one, Kind: peer.Done, Machine: names[0]}}}}}})
+	stopped, stored := false, false
+	for _, e := range fx {
+		if x, ok := e.(Tell); ok {
+			for _, o := range x.Down.Orders {
+				stopped = stopped || len(o.Stop) == 1 && o.Stop[0].Task == one
+				stored = stored || len(o.Stored) == 1 && o.Stored[0] == one
+			}
+		}
+	}
+	if !stopped || !stored || j.nDone != 0 {
+		t.Errorf("told to keep it listed %v, that it is settled %v, %d tasks done", stopped, stored, j.nDone)
+	}
+	if n := offers(fx); n != 1 {
+		t.Errorf("%d tasks offered, want the replica again", n)
+	}
+}
+
+// Progress that was stored when values could be larger is neither lost nor written as it
+// is: its chunks go to shelves that fit, and the old one is deleted only when all are there.
+func TestShelfOfTheOldSizeIsSplit(t *testing.T) {
+	l := leading(t)
+	const n = 40
+	old := &shelf{key: ProgPrefix + "1-1", stamp: 7, size: 32}
+	var r ProgRecord
+	var refs []string
+	for i := range n {
+		s := spec
+		s.Ref, s.Tasks = "j-20000"+string(rune('0'+i/10))+string(rune('0'+i%10)), 300
+		l.addJob(JobRecord{Spec: s}, 3).fillWaiting()
+		refs = append(refs, s.Ref)
+		r.Units = append(r.Units, ProgUnit{Job: s.Ref, Bits: []byte{5}})
+	}
+	l.valueBytes = 1800
+	it := item(t, old.key, old.stamp, r)
+	l.loadShelf(it, r)
+	left := map[any]Commit{}
+	for round := 1; round <= 3; round++ {
+		for _, e := range l.Step(began+clock.Micros(round)*progressEvery, Tick{}) {
+			c, ok := e.(Commit)
+			if !ok || c.Tag == nil && c.Txn.Then[0].Delete == "" {
+				continue
+			}
+			if c.Txn.Then[0].Delete == old.key && len(left) > 0 {
+				t.Fatal("the old shelf is deleted before its chunks are stored elsewhere")
+			}
+			if tag, ok := c.Tag.(progTag); ok {
+				if len(c.Txn.Then[0].Value) > l.valueBytes || c.Txn.Then[0].Put == old.key {
+					t.Errorf("%s is written with %d bytes", c.Txn.Then[0].Put, len(c.Txn.Then[0].Value))
+				}
+				left[tag.shelf] = c
+			}
+			if c.Txn.Then[0].Delete == old.key {
+				left[nil] = c
+			}
+		}
+		if round == 1 {
+			for s, c := range left {
+				delete(left, s)
+				l.Step(began+progressEvery, Committed{Epoch: 5, Tag: c.Tag, Outcome: store.Outcome{OK: true, Revision: 20}})
+			}
+		}
+	}
+	if _, deleted := left[nil]; !deleted {
+		t.Error("the old shelf is never deleted")
+	}
+	for _, ref := range refs {
+		if j := l.jobs[ref]; !j.stored(0) || !j.stored(2) || j.stored(1) {
+			t.Errorf("%s lost what was stored of it", ref)
+		}
+	}
+}
+
+// Room for services is rented before they come: for what came lately while a machine boots,
+// and some for a class that is expected sooner than that and of which nothing is known.
+func TestRoomIsRentedAheadForServices(t *testing.T) {
+	l := leading(t)
+	l.setTypes([]wire.MachineType{{Name: "small", CPUs: 4, MemoryGB: 8, BootS: 30, ZoneNames: []string{"a"}}})
+	if l.warm() != nil {
+		t.Error("room is kept though nothing is awaited")
+	}
+	l.awaited["web"] = 20
+	if w := l.warm(); w == nil || w.Tasks != warmCPUs {
+		t.Errorf("room kept for an awaited class: %+v", w)
+	}
+	s := spec
+	s.Ref, s.Class, s.Shape, s.Tasks = "j-300000", "web", wire.Service, 6
+	j := l.addJob(JobRecord{Spec: s, At: began}, 3)
+	if l.warm() != nil {
+		t.Error("room is kept for a class that has come")
+	}
+	key := needKey{j.shape, true}
+	needs := map[needKey]*fleet.Need{key: {CPUs: 1, Tasks: 6}}
+	if l.reserve(began, needs); needs[key].Tasks <= 12 {
+		t.Errorf("%d slots wanted for 6 replicas that came within a boot time, want more than as many again", needs[key].Tasks)
+	}
+}
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -251,6 +251,9 @@
 // no harm but to a new leader, which waits for them a while, and each write costs a put.
 const tidyEvery = 20 * clock.Second
 
+// rosterBytes is about what a machine takes in its record, with its part of the rest.
+const rosterBytes = 20
+
 // tidyRental takes machines that are gone out of the durable roster.
 func (l *Leader) tidyRental(now clock.Micros, rt *rental) {
 	left := slices.DeleteFunc(slices.Clone(rt.rec.Machines), func(n string) bool { return l.gone[n] })
@@ -258,6 +261,9 @@
 		return
 	}
 	rt.tidied = now
+	if len(left)*rosterBytes > l.valueBytes {
+		return // of the time when values could be larger: it stays as it is until less is left
+	}
 	rt.rec.Machines = left
 	if len(left) == 0 {
 		delete(l.rentals, rt.key)
--- a/internal/leader/progress.go
+++ b/internal/leader/progress.go
@@ -17,16 +17,14 @@
 // shelf is one key of progress. It holds chunks of several jobs, so that what one
 // write costs does not grow with the number of jobs.
 type shelf struct {
-	key   string
-	stamp uint64
-	units []shelfUnit
-	size  int
-	dirty bool // a chunk is to be written or removed
-	busy  bool
-	// Of a shelf that was written when values could be larger: how many of its chunks have
-	// no other yet. It is left as it is until then, and deleted.
-	moving int
-	large  bool
+	key    string
+	stamp  uint64
+	units  []shelfUnit
+	size   int
+	dirty  bool // a chunk is to be written or removed
+	busy   bool
+	moving int  // how many chunks that it is to lose are not stored elsewhere yet; it is left as it is until then
+	large  bool // written when values could be larger: it loses all of them
 }
 
 type shelfUnit struct {
@@ -40,7 +38,7 @@
 func (l *Leader) place(j *job, c int) *shelf {
 	need := chunkBytes(len(j.chunks[c].done))
 	for _, s := range l.shelves {
-		if !s.large && s.size+need <= l.cfg.ValueBytes() {
+		if !s.large && s.size+need <= l.valueBytes {
 			s.put(j, c)
 			return s
 		}
@@ -101,24 +99,33 @@
 		}
 		if ch.shelf == nil && ch.former == nil {
 			s.put(j, u.Chunk)
-		} else {
-			s.dirty = true // on two shelves: one of them is enough
-			ch.dirty = true
+			continue
 		}
-	}
-	if s.size > l.cfg.ValueBytes() {
-		// Written when values could be larger: as it is, it could not be written again. Its
-		// chunks go to other shelves, and it stays until they are stored there.
-		s.large, s.dirty = true, true
-		for _, u := range s.units {
-			ch := &u.j.chunks[u.chunk]
-			ch.shelf, ch.former, ch.dirty = nil, s, true
+		// On two shelves: one of them is enough, once it has what both had.
+		s.dirty, ch.dirty = true, true
+		if ch.former == nil {
+			ch.former = s
+			s.moving++
 		}
-		s.moving = len(s.units)
-		s.units = nil
+	}
+	if s.size > l.valueBytes {
+		s.split()
 	}
 }
 
+// split gives up a shelf that was written when values could be larger: as it is, it could
+// not be written again. Its chunks go to others, and it stays until they are stored there.
+func (s *shelf) split() {
+	s.large, s.dirty = true, true
+	for _, u := range s.units {
+		ch := &u.j.chunks[u.chunk]
+		ch.leaveFormer()
+		ch.shelf, ch.former, ch.dirty = nil, s, true
+	}
+	s.moving += len(s.units)
+	s.units = nil
+}
+
 type progTag struct {
 	shelf *shelf
 	units []shelfUnit
@@ -155,7 +162,7 @@
 		return true
 	})
 	for _, s := range l.shelves {
-		if s.busy || !s.dirty || s.large {
+		if s.busy || !s.dirty || s.large || s.moving > 0 {
 			continue
 		}
 		s.busy, s.dirty = true, false
@@ -197,6 +204,11 @@
 		u.j.chunks[u.chunk].dirty = true
 	}
 	s.dirty = true
+	if m.Outcome.Malformed && !m.Outcome.Unsure && s.size > l.valueBytes {
+		s.busy = false
+		s.split()
+		return
+	}
 	if len(m.Outcome.Failed) > 0 {
 		l.emit(ReadKey{l.epoch, s.key, tag})
 		return
