--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -325,9 +325,21 @@
 	if l.warm() != nil {
 		t.Error("room is kept for a class that has come")
 	}
-	key := needKey{j.shape, true}
-	needs := map[needKey]*fleet.Need{key: {CPUs: 1, Tasks: 6}}
-	if l.reserve(began, needs); needs[key].Tasks <= 12 {
-		t.Errorf("%d slots wanted for 6 replicas that came within a boot time, want more than as many again", needs[key].Tasks)
+	n := &needs{byKey: map[needKey]*fleet.Need{}}
+	if l.reserve(began, n); len(n.list) != 1 || n.list[0].Tasks <= 6 {
+		t.Errorf("room kept for services like one of 6 replicas that has just come: %+v, want for more than as many", n.list)
+	}
+	// What must be spread over zones needs room in each.
+	l.setTypes([]wire.MachineType{{Name: "small", CPUs: 4, MemoryGB: 8, BootS: 30, ZoneNames: []string{"a", "b", "c"}}})
+	j.rec.Spec.Spread = true
+	n = &needs{byKey: map[needKey]*fleet.Need{}}
+	l.needStanding(began, n, j, 6)
+	for _, need := range n.list {
+		if need.Tasks != 2 || need.Zone == "" {
+			t.Errorf("%d slots wanted in zone %q, want 2 in each of three", need.Tasks, need.Zone)
+		}
+	}
+	if len(n.list) != 3 {
+		t.Errorf("%d needs, want one for each zone", len(n.list))
 	}
 }
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"maps"
-	"math"
 	"slices"
 
 	"swiftledge/internal/clock"
@@ -410,51 +409,7 @@
 
 // plan rents what the queues need, if it may, and names idle machines to return.
 func (l *Leader) plan(now clock.Micros, rent bool) []string {
-	byShape := map[needKey]*fleet.Need{}
-	var needs []*fleet.Need
-	room := map[string]float64{}
-	refs := slices.Sorted(maps.Keys(l.jobs))
-	// Services first: they cannot wait, and few machines are theirs to choose from.
-	slices.SortStableFunc(refs, func(a, b string) int {
-		return standingFirst(l.jobs[a]) - standingFirst(l.jobs[b])
-	})
-	for _, ref := range refs {
-		j := l.jobs[ref]
-		s := &j.rec.Spec
-		left := s.Tasks - j.nDone
-		if left <= 0 || now < j.notBefore {
-			continue
-		}
-		if _, ok := room[s.Team]; !ok {
-			room[s.Team] = l.teams[s.Team].CPUsMax
-		}
-		n := left
-		if s.CPUs > 0 {
-			n = min(n, int(room[s.Team]/s.CPUs+1e-9))
-		}
-		room[s.Team] -= float64(n) * s.CPUs
-		key := needKey{j.shape, s.Standing()}
-		need := byShape[key]
-		if need == nil {
-			need = &fleet.Need{CPUs: s.CPUs, GPUs: s.GPUs, Memory: s.MemoryGB, Types: s.Types, Zone: s.Zone, Spot: s.Spot}
-			byShape[key] = need
-			needs = append(needs, need)
-		}
-		need.Tasks += n
-		if s.Standing() {
-			need.Seconds = math.Inf(1)
-		} else {
-			need.Seconds += float64(left) * l.remaining(j)
-		}
-	}
-	l.reserve(now, byShape)
-	if warm := l.warm(); warm != nil {
-		needs = append(needs, warm)
-	}
-	flat := make([]fleet.Need, len(needs))
-	for i, n := range needs {
-		flat[i] = *n
-	}
+	flat := l.needs(now)
 	var supply []fleet.Supply
 	idleFor := clock.FromSeconds(l.cfg.Tuning.Fleet.IdleS)
 	for _, name := range slices.Sorted(maps.Keys(l.machines)) {
@@ -506,87 +461,6 @@
 	return d.Return
 }
 
-// needKey tells needs apart.
-type needKey struct {
-	shape    shape
-	standing bool
-}
-
-func standingFirst(j *job) int {
-	if j.rec.Spec.Standing() {
-		return 0
-	}
-	return 1
-}
-
-// arrivals is for how long back the services that came are counted, and at least.
-const arrivals, leastArrivals = 120, 30
-
-// reserve adds the room that services need which come while a machine rented for them
-// would still boot: what came lately, for that long, and half as much again as it varies.
-func (l *Leader) reserve(now clock.Micros, needs map[needKey]*fleet.Need) {
-	type came struct{ sum, squares float64 }
-	lately := map[needKey]*came{}
-	oldest := 0.0
-	for _, j := range l.jobs {
-		age := (now + l.wall - j.rec.At).Seconds()
-		if !j.rec.Spec.Standing() || age > arrivals {
-			continue
-		}
-		oldest = max(oldest, age)
-		key := needKey{j.shape, true}
-		c := lately[key]
-		if c == nil {
-			c = &came{}
-			lately[key] = c
-		}
-		n := float64(j.rec.Spec.Tasks)
-		c.sum += n
-		c.squares += n * n
-	}
-	window := max(oldest, leastArrivals)
-	for key, c := range lately {
-		need := needs[key]
-		if need == nil {
-			continue
-		}
-		boot := 0.0
-		for _, t := range l.typeList {
-			if need.Slots(&t, need.Zone, need.Spot) > 0 {
-				boot = max(boot, t.BootS)
-			}
-		}
-		ahead := boot * 1.3 / window
-		need.Tasks += int(math.Ceil(c.sum*ahead + 1.5*math.Sqrt(c.squares*ahead)))
-	}
-}
-
-// warmCPUs are kept up, in ordinary machines, for each class that is expected to start
-// sooner than a machine boots and of which no job is known: what it takes is not known
-// either, so this is for its first few jobs only.
-const warmCPUs = 24
-
-func (l *Leader) warm() *fleet.Need {
-	known := map[string]bool{}
-	for _, j := range l.jobs {
-		known[j.rec.Spec.Class] = true
-	}
-	boot := math.Inf(1)
-	for _, t := range l.typeList {
-		boot = min(boot, t.BootS)
-	}
-	n := 0
-	for class, within := range l.awaited {
-		if !known[class] && within < boot*1.5+10 {
-			n += warmCPUs
-		}
-	}
-	if n == 0 {
-		return nil
-	}
-	return &fleet.Need{CPUs: 1, Memory: 2, Tasks: n, Seconds: math.Inf(1)}
-}
-
 // stuckAfter is how long a rental is without an answer before the cloud counts as away.
 const stuckAfter = 10 * clock.Second
 
--- /dev/null
+++ b/internal/leader/needs.go
@@ -0,0 +1,213 @@
+package leader
+
+import (
+	"maps"
+	"math"
+	"slices"
+
+	"swiftledge/internal/clock"
+	"swiftledge/internal/fleet"
+	"swiftledge/wire"
+)
+
+// needKey tells needs apart.
+type needKey struct {
+	shape    shape
+	standing bool
+	zone     string // of those that are to be spread
+}
+
+// needs gathers what is wanted, services first: they cannot wait, and few machines are
+// theirs to choose from.
+type needs struct {
+	byKey map[needKey]*fleet.Need
+	list  []*fleet.Need
+}
+
+func (n *needs) of(j *job, zone string) *fleet.Need {
+	s := &j.rec.Spec
+	key := needKey{j.shape, s.Standing(), zone}
+	need := n.byKey[key]
+	if need == nil {
+		need = &fleet.Need{CPUs: s.CPUs, GPUs: s.GPUs, Memory: s.MemoryGB, Types: s.Types, Zone: zone, Spot: s.Spot}
+		if zone == "" {
+			need.Zone = s.Zone
+		}
+		n.byKey[key] = need
+		n.list = append(n.list, need)
+	}
+	return need
+}
+
+// needs is what machines are wanted for.
+func (l *Leader) needs(now clock.Micros) []fleet.Need {
+	n := &needs{byKey: map[needKey]*fleet.Need{}}
+	room := map[string]float64{}
+	refs := slices.Sorted(maps.Keys(l.jobs))
+	for _, standing := range []bool{true, false} {
+		for _, ref := range refs {
+			j := l.jobs[ref]
+			s := &j.rec.Spec
+			left := s.Tasks - j.nDone
+			if s.Standing() != standing || left <= 0 || now < j.notBefore {
+				continue
+			}
+			if _, ok := room[s.Team]; !ok {
+				room[s.Team] = l.teams[s.Team].CPUsMax
+			}
+			most := left
+			if s.CPUs > 0 {
+				most = min(most, int(room[s.Team]/s.CPUs+1e-9))
+			}
+			room[s.Team] -= float64(most) * s.CPUs
+			if standing {
+				l.needStanding(now, n, j, most)
+				continue
+			}
+			need := n.of(j, "")
+			need.Tasks += most
+			need.Seconds += float64(left) * l.remaining(j)
+		}
+		if standing {
+			l.reserve(now, n)
+		}
+	}
+	if warm := l.warm(); warm != nil {
+		n.list = append(n.list, warm)
+	}
+	out := make([]fleet.Need, len(n.list))
+	for i, need := range n.list {
+		out[i] = *need
+	}
+	return out
+}
+
+// needStanding adds a service's replicas. Those that must be spread need room in several
+// zones: room for all of them in the cheapest would leave half without.
+func (l *Leader) needStanding(now clock.Micros, n *needs, j *job, most int) {
+	add := func(zone string, tasks int) {
+		need := n.of(j, zone)
+		need.Tasks += tasks
+		need.Seconds = math.Inf(1)
+	}
+	over := l.zonesFor(now, j)
+	if len(over) == 0 {
+		add("", most)
+		return
+	}
+	in := l.zones(j)
+	for zone, k := range in.n {
+		add(zone, k)
+		most -= k
+	}
+	for ; most > 0; most-- {
+		zone := slices.MinFunc(over, func(a, b string) int { return in.n[a] - in.n[b] })
+		in.add(zone)
+		add(zone, 1)
+	}
+}
+
+// zonesFor are the zones over which a job's tasks may be spread now; none if they need not be.
+func (l *Leader) zonesFor(now clock.Micros, j *job) (out []string) {
+	s := &j.rec.Spec
+	if !s.Spread || s.Zone != "" {
+		return nil
+	}
+	need := fleet.Need{CPUs: s.CPUs, GPUs: s.GPUs, Memory: s.MemoryGB, Types: s.Types, Spot: s.Spot}
+	for _, t := range l.typeList {
+		for _, z := range t.ZoneNames {
+			for _, spot := range []bool{false, true} {
+				o := fleet.Option{Type: t, Zone: z, Spot: spot}
+				if need.Slots(&t, z, spot) > 0 && now >= l.refused[o.Key()].until && !slices.Contains(out, z) {
+					out = append(out, z)
+				}
+			}
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// arrivals is for how long back the services that came are counted, and at least.
+const arrivals, leastArrivals = 120, 30
+
+// reserve adds the room that services need which come while a machine rented for them
+// would still boot: what came lately, for that long, and half as much again as it varies.
+func (l *Leader) reserve(now clock.Micros, n *needs) {
+	type came struct {
+		sum, squares float64
+		like         *job
+	}
+	lately := map[shape]*came{}
+	var shapes []shape
+	oldest := 0.0
+	for _, ref := range slices.Sorted(maps.Keys(l.jobs)) {
+		j := l.jobs[ref]
+		age := (now + l.wall - j.rec.At).Seconds()
+		if !j.rec.Spec.Standing() || age > arrivals {
+			continue
+		}
+		oldest = max(oldest, age)
+		c := lately[j.shape]
+		if c == nil {
+			c = &came{like: j}
+			lately[j.shape] = c
+			shapes = append(shapes, j.shape)
+		}
+		tasks := float64(j.rec.Spec.Tasks)
+		c.sum += tasks
+		c.squares += tasks * tasks
+	}
+	window := max(oldest, leastArrivals)
+	for _, k := range shapes {
+		c := lately[k]
+		ahead := l.bootTime(&c.like.rec.Spec) * 1.3 / window
+		more := int(math.Ceil(c.sum*ahead + 1.5*math.Sqrt(c.squares*ahead)))
+		over := l.zonesFor(now, c.like)
+		if len(over) == 0 {
+			over = []string{""}
+		}
+		for _, zone := range over {
+			need := n.of(c.like, zone)
+			need.Tasks += (more + len(over) - 1) / len(over)
+			need.Seconds = math.Inf(1)
+		}
+	}
+}
+
+// bootTime is the longest usual boot time of the machines that a job may run on.
+func (l *Leader) bootTime(s *wire.Job) (boot float64) {
+	need := fleet.Need{CPUs: s.CPUs, GPUs: s.GPUs, Memory: s.MemoryGB, Types: s.Types}
+	for _, t := range l.typeList {
+		if need.Slots(&t, "", false) > 0 {
+			boot = max(boot, t.BootS)
+		}
+	}
+	return boot
+}
+
+// warmCPUs are kept up, in ordinary machines, for each class that is expected to start
+// sooner than a machine boots and of which no job is known: what it takes is not known
+// either, so this is for its first few jobs only.
+const warmCPUs = 24
+
+func (l *Leader) warm() *fleet.Need {
+	known := map[string]bool{}
+	for _, j := range l.jobs {
+		known[j.rec.Spec.Class] = true
+	}
+	boot := math.Inf(1)
+	for _, t := range l.typeList {
+		boot = min(boot, t.BootS)
+	}
+	n := 0
+	for class, within := range l.awaited {
+		if !known[class] && within < boot*1.5+10 {
+			n += warmCPUs
+		}
+	}
+	if n == 0 {
+		return nil
+	}
+	return &fleet.Need{CPUs: 1, Memory: 2, Tasks: n, Seconds: math.Inf(1)}
+}
