--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -68,6 +68,7 @@
 		j.chunks = append(j.chunks, chunk{done: make([]byte, n), saved: make([]byte, n)})
 	}
 	l.jobs[r.Spec.Ref] = j
+	l.came[r.Spec.Class] = true
 	return j
 }
 
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -85,6 +85,7 @@
 	machines                                                            map[string]*machine
 	rentals                                                             map[string]*rental
 	gone                                                                map[string]bool
+	came                                                                map[string]bool // classes of which a job has come in this epoch
 	types                                                               map[string]wire.MachineType
 	typeList                                                            []wire.MachineType
 	refused                                                             map[fleet.OptionKey]refusal
@@ -143,7 +144,7 @@
 
 func (l *Leader) reset() {
 	*l = Leader{cfg: l.cfg, within: l.within, awaited: l.awaited, valueBytes: l.cfg.ValueBytes(), txnOps: l.cfg.TxnOps(), teams: l.teams, self: l.self, storeOK: l.storeOK, nodes: map[string]*node{}, jobs: map[string]*job{}, usage: map[string]*use{},
-		machines: map[string]*machine{}, rentals: map[string]*rental{}, gone: map[string]bool{}, types: map[string]wire.MachineType{},
+		machines: map[string]*machine{}, rentals: map[string]*rental{}, gone: map[string]bool{}, came: map[string]bool{}, types: map[string]wire.MachineType{},
 		refused: map[fleet.OptionKey]refusal{}, classes: map[string]*classStat{}, found: map[string]wire.Machine{}, counts: map[string]peer.TaskCount{}}
 }
 
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -316,6 +316,10 @@
 		t.Error("room is kept though nothing is awaited")
 	}
 	l.awaited["web"] = 20
+	if l.warm() != nil {
+		t.Error("room is kept on a site where nothing runs")
+	}
+	l.use("red").cpus = 1000
 	if w := l.warm(); w == nil || w.Tasks != warmCPUs {
 		t.Errorf("room kept for an awaited class: %+v", w)
 	}
--- a/internal/leader/needs.go
+++ b/internal/leader/needs.go
@@ -186,26 +186,31 @@
 	return boot
 }
 
-// warmCPUs are kept up, in ordinary machines, for each class that is expected to start
-// sooner than a machine boots and of which no job is known: what it takes is not known
-// either, so this is for its first few jobs only.
-const warmCPUs = 24
+// warmCPUs at most are kept up, in ordinary machines, for each class that is expected to
+// start sooner than a machine boots and of which no job has come yet: what it takes is not
+// known either, so this is for its first few jobs only. It is never more than a warmPart
+// of what runs, or a small site would pay for it with a large part of its machines.
+const (
+	warmCPUs = 24
+	warmPart = 0.04
+)
 
 func (l *Leader) warm() *fleet.Need {
-	known := map[string]bool{}
-	for _, j := range l.jobs {
-		known[j.rec.Spec.Class] = true
-	}
 	boot := math.Inf(1)
 	for _, t := range l.typeList {
 		boot = min(boot, t.BootS)
 	}
 	n := 0
 	for class, within := range l.awaited {
-		if !known[class] && within < boot*1.5+10 {
+		if !l.came[class] && within < boot*1.5+10 {
 			n += warmCPUs
 		}
 	}
+	held := 0.0
+	for _, u := range l.usage {
+		held += u.cpus
+	}
+	n = min(n, int(held*warmPart))
 	if n == 0 {
 		return nil
 	}
