--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -347,3 +347,27 @@
 		t.Errorf("%d needs, want one for each zone", len(n.list))
 	}
 }
+
+// Blocks stay with a controller that can answer their workers while the others are linked
+// through the state service only: there a grant may take longer than a lease lasts.
+func TestBlocksStayWhileLinksAreSlow(t *testing.T) {
+	moved := func(slow bool) bool {
+		l := granting(t, nil)
+		l.cfg.Facts.Quota.CPU, l.cfg.Facts.Workers.ReportS = 0.1, 3
+		l.Step(began+clock.Second, Joined{Node: "n1", Link: "other", Slow: slow})
+		said := Said{Node: "n1", Link: "other", Up: &peer.Up{Epoch: 5, StoreOK: true}}
+		for i := range 20 {
+			now := began + clock.Second + clock.Micros(i)*clock.Second/4
+			l.Step(now, said)
+			l.Step(now, Said{Node: "n0", Link: "link", Up: &peer.Up{Epoch: 5, StoreOK: true}})
+			l.Step(now, Tick{})
+		}
+		return l.blocks[0].holder == "n1" || l.blocks[1].holder == "n1"
+	}
+	if moved(true) {
+		t.Error("a block goes to a controller with a slow link")
+	}
+	if !moved(false) {
+		t.Error("no block goes to a controller with a link")
+	}
+}
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,37 @@
+package store
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"testing"
+
+	"swiftledge/wire"
+)
+
+// A transaction that got no answer, and is refused for its form when repeated, as limits
+// have fallen meanwhile: only this try is proven not to be carried out.
+func TestRefusedForItsFormAfterNoAnswer(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tries := 0
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if tries++; tries == 1 {
+			panic(http.ErrAbortHandler) // the connection ends without an answer
+		}
+		w.WriteHeader(http.StatusBadRequest)
+		w.Write([]byte(`{"error":"value too large"}`))
+	})}
+	go srv.Serve(l)
+	defer srv.Close()
+	c := New(l.Addr().String(), Budget{RPS: 100, Puts: 100}, func(bool) {})
+	o, err := c.Commit(t.Context(), Urgent, wire.Txn{Then: []wire.Write{{Put: "a", Value: []byte("1")}}})
+	if err == nil || errors.Is(err, ErrRefused) || errors.Is(err, ErrUnknown) {
+		t.Errorf("error %v, want one that ends the tries", err)
+	}
+	if !o.Unsure || !o.Malformed || o.NoLease || o.OK || tries != 2 {
+		t.Errorf("outcome %+v after %d tries, want one that is unsure, not a lease that has ended", o, tries)
+	}
+}
