--- a/internal/block/cycle.go
+++ b/internal/block/cycle.go
@@ -70,7 +70,7 @@
 		g := &placement.Group{Key: j.Ref, Indexes: o.Indexes, Image: j.Image, Zone: zone, Types: j.Types, Spot: j.Spot,
 			CPUs: j.CPUs, GPUs: j.GPUs, Memory: j.MemoryGB}
 		if j.Standing() {
-			g.Apart, g.Avoid = true, b.avoided(j.Ref)
+			g.Avoid = b.avoided(j.Ref)
 		}
 		groups = append(groups, g)
 		specs[g] = &peer.RecordGroup{Job: j.Ref, Team: j.Team, CPUs: j.CPUs, GPUs: j.GPUs, Memory: j.MemoryGB,
--- a/internal/block/holder_test.go
+++ b/internal/block/holder_test.go
@@ -483,3 +483,31 @@
 		t.Errorf("values of %d bytes and %d operations after a refusal, were %d and %d", h.p.ValueBytes, h.p.TxnOps, was.ValueBytes, was.TxnOps)
 	}
 }
+
+// A replica goes to a machine that has none of its service, and rather to one that has than
+// to one where another failed.
+func TestReplicasAvoidMachines(t *testing.T) {
+	h := holding(t)
+	failed := wire.TaskReport{Task: TaskName(task), Attempt: 1, State: wire.Exited, Cause: wire.CauseError}
+	h.Step(now, beat("m1", 1, 50, failed))
+	h.Step(now, beat("m2", 1, 50, running(2)))
+	where := func(seq uint64, index int) string {
+		for _, e := range h.Step(now, &peer.Down{Epoch: 9, Orders: []peer.BlockOrders{{Block: 0, Token: 50, Seq: seq,
+			Offers: []peer.Offer{{Job: wire.Job{Ref: task.Job, Shape: wire.Service, Team: "red", CPUs: 1, Tasks: 9}, Indexes: []int{index}}}}}}) {
+			if r, ok := e.(Record); ok {
+				at := h.blocks[0].writing.recs[0].m.name
+				h.Step(now, r.Settled(store.Outcome{OK: true, Revision: 30 + seq}))
+				return at
+			}
+		}
+		return ""
+	}
+	if m := where(1, 4); m != "m2" {
+		t.Errorf("a replica goes to %q, where one failed, want m2", m)
+	}
+	h.Step(now, &peer.Down{Epoch: 9, Orders: []peer.BlockOrders{{Block: 0, Token: 50, Use: []string{"m3"}}}})
+	h.Step(now, beat("m3", 1, 50))
+	if m := where(2, 5); m != "m3" {
+		t.Errorf("a replica goes to %q, want m3, which has none", m)
+	}
+}
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -333,6 +334,13 @@
 	if l.reserve(began, n); len(n.list) != 1 || n.list[0].Tasks <= 6 {
 		t.Errorf("room kept for services like one of 6 replicas that has just come: %+v, want for more than as many", n.list)
 	}
+	total := 0
+	for _, need := range l.needs(began) {
+		total += need.Tasks
+	}
+	if total <= 6+spec.Tasks {
+		t.Errorf("%d slots wanted in all", total)
+	}
 	// What must be spread over zones needs room in each.
 	l.setTypes([]wire.MachineType{{Name: "small", CPUs: 4, MemoryGB: 8, BootS: 30, ZoneNames: []string{"a", "b", "c"}}})
 	j.rec.Spec.Spread = true
@@ -371,3 +379,85 @@
 		t.Error("no block goes to a controller with a link")
 	}
 }
+
+// Roster records fit into a value: what is found is taken in pieces, and one of the time when
+// values could be larger is left alone until less is left of it.
+func TestRosterRecordsFit(t *testing.T) {
+	l := granting(t, nil)
+	l.valueBytes = 1800
+	var many []string
+	for i := range 200 {
+		name := fmt.Sprintf("host-%06d", 1000+i)
+		many = append(many, name)
+		l.found[name] = wire.Machine{Name: name, Type: "small", Zone: "a"}
+	}
+	l.fx = nil
+	l.adopt(began)
+	n := 0
+	for _, e := range l.fx {
+		if c, ok := e.(Commit); ok {
+			n++
+			if len(c.Txn.Then[0].Value) > l.valueBytes {
+				t.Errorf("a record of %d bytes", len(c.Txn.Then[0].Value))
+			}
+		}
+	}
+	if n < 2 {
+		t.Errorf("%d records for 200 machines", n)
+	}
+	rt := &rental{key: "fleet/old", stamp: 3, rec: FleetRecord{Machines: many, Asked: true}}
+	l.gone[many[0]] = true
+	l.fx = nil
+	if l.tidyRental(began+clock.Minute, rt); len(l.fx) > 0 {
+		t.Error("a record that is too large is written as it is")
+	}
+	for _, name := range many[:150] {
+		l.gone[name] = true
+	}
+	if l.tidyRental(began+2*clock.Minute, rt); len(l.fx) != 1 || len(rt.rec.Machines) != 50 {
+		t.Errorf("%d machines left in the record, written %d times", len(rt.rec.Machines), len(l.fx))
+	}
+}
+
+// A refusal for its form makes what the leader writes smaller.
+func TestLeaderWritesSmallerAfterARefusal(t *testing.T) {
+	l := granting(t, nil)
+	l.valueBytes, l.txnOps = 3600, 8
+	l.Step(began, Committed{Epoch: 5, Tag: endTag{"j-999999"}, Outcome: store.Outcome{Malformed: true}})
+	if l.valueBytes != 1800 || l.txnOps != 4 {
+		t.Errorf("values of %d bytes, %d operations", l.valueBytes, l.txnOps)
+	}
+}
+
+// A service has no progress, whatever a version that took it for a batch has stored: all its
+// replicas run, and it is never done.
+func TestServiceHasNoProgress(t *testing.T) {
+	l := leading(t)
+	s := spec
+	s.Ref, s.Shape = "j-400000", wire.Service
+	j := l.addJob(JobRecord{Spec: s}, 3)
+	r := ProgRecord{Units: []ProgUnit{{Job: s.Ref, Bits: []byte{3}}}}
+	l.loadShelf(item(t, ProgPrefix+"1-1", 7, r), r)
+	if j.isDone(0) || j.isDone(1) {
+		t.Error("replicas count as done")
+	}
+}
+
+// A machine is faulty that fails replicas of a service which run well elsewhere.
+func TestMachineThatFailsReplicasIsDrained(t *testing.T) {
+	page := peer.RecordPage{Machines: names[:1], Groups: []peer.RecordGroup{{Job: spec.Ref, Team: "red", CPUs: 1, Starts: []int{0, 1, 0}}}}
+	l := granting(t, map[string]peer.RecordPage{"p": page})
+	j := l.jobs[spec.Ref]
+	j.rec.Spec.Shape = wire.Service
+	b := l.blocks[block.Of(names[0], 2)]
+	l.Step(began, Said{Node: "n0", Link: "link", Up: &peer.Up{Epoch: 5, Updates: []peer.BlockUpdate{{Block: b.id, Token: b.token,
+		Events: []peer.Event{{Task: peer.Task{Job: spec.Ref, Index: 0}, Kind: peer.Running, Machine: names[0]}}}}}})
+	l.errored(began+2*steady, j, names[1])
+	if l.machines[names[1]].drain {
+		t.Error("drained after a single failure")
+	}
+	l.errored(began+2*steady, j, names[1])
+	if !l.machines[names[1]].drain {
+		t.Error("not drained after two failures while another replica runs")
+	}
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -111,10 +111,8 @@
 	Spot               bool
 	CPUs, GPUs, Memory float64
 	// Avoid names machines that are taken only when no other is left, the more so the
-	// higher the number. Apart: those that get one of the group's tasks are added with 1,
-	// as one machine's end must not end all.
+	// higher the number.
 	Avoid map[string]int
-	Apart bool
 }
 
 // Fits says whether one task of g can be given to m now.
@@ -169,9 +167,6 @@
 			m.Unstarted++
 			b.Visit(t.g.Image, m.Name, now)
 			c.holders(t.g.Image)[t.at] = true
-			if t.g.Apart {
-				t.g.Avoid[m.Name] = max(t.g.Avoid[m.Name], 1)
-			}
 			out = append(out, Match{t.g, t.index, m})
 		}
 		// Room only shrinks: a group that fits nowhere now never will.
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -200,7 +200,7 @@
 	case "worker":
 		of := arg(t, d, "of", "")
 		for _, s := range w.workers[arg(t, d, "from", 0):arg(t, d, "to", len(w.workers))] {
-			if of != "" && !slices.Contains(w.where(of), s) {
+			if of != "" && !slices.Contains(w.where(of), s) || d.HasArg("noticed") && s.NoticeS == nil {
 				continue
 			}
 			s.cut = d.HasArg("cut")
@@ -315,8 +315,13 @@
 			w.run(step)
 		}
 		return "in time"
-	case "starts":
-		if n, most := w.starts[ref], arg(t, d, "most", 1); n > most {
+	case "tries":
+		// How often one of its tasks was ordered, wherever.
+		n, most := 0, arg(t, d, "most", 1)
+		for _, s := range w.workers {
+			n += s.Tried[ref]
+		}
+		if n > most {
 			return fmt.Sprintf("%d, more than %d", n, most)
 		}
 		return "few"
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -70,7 +70,6 @@
 	malformed   int                     // transactions that the state service refused for their form
 	unannounced bool                    // its limits fell below what the settings say
 	ran         map[string]int          // completed runs by task
-	starts      map[string]int          // by job: how often one of its tasks began to run
 	next        *config.Next            // limits that the settings name for later
 	sent        map[string]clock.Micros // when a job was accepted
 	begun       map[string]clock.Micros // when its first task ran
@@ -159,7 +158,7 @@
 		store:  standin.NewStore(cfg.Facts.State.ValueKB, cfg.Facts.State.TxnOps),
 		cloud:  standin.NewCloud(types, clock.FromSeconds(cfg.Facts.Cloud.ListLagS)),
 		byName: map[string]*simWorker{}, holds: map[string][]held{},
-		jobs: map[string]wire.Job{}, runS: map[string]float64{}, aborted: map[string]clock.Micros{}, ran: map[string]int{}, starts: map[string]int{}, next: cfg.Facts.State.Next, sent: map[string]clock.Micros{}, begun: map[string]clock.Micros{}}
+		jobs: map[string]wire.Job{}, runS: map[string]float64{}, aborted: map[string]clock.Micros{}, ran: map[string]int{}, next: cfg.Facts.State.Next, sent: map[string]clock.Micros{}, begun: map[string]clock.Micros{}}
 	for i := range cfg.Facts.InitialSize {
 		n := &simNode{w: w, i: i, name: fmt.Sprintf("n%d", i), cfg: cfg}
 		n.cfg.Name = n.name
@@ -261,7 +260,6 @@
 
 // started judges the rules that can break when a task begins to run.
 func (w *world) started(at *simWorker, t *standin.Task) {
-	w.starts[t.Job.Ref]++
 	if _, ok := w.begun[t.Job.Ref]; !ok {
 		w.begun[t.Job.Ref] = w.now
 	}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -38,6 +38,7 @@
 	Started func(t *Task)
 	Ended   func(t *Task)
 	Kept    map[string]bool // results of completed tasks
+	Tried   map[string]int  // by job: how many run orders it carried out
 
 	renewed clock.Micros
 	images  map[string]bool
@@ -47,7 +48,7 @@
 func (w *Worker) Boot(now clock.Micros) {
 	w.Session, w.renewed = 1, now
 	w.images = map[string]bool{}
-	w.Kept = map[string]bool{}
+	w.Kept, w.Tried = map[string]bool{}, map[string]int{}
 }
 
 // Renewed is when the last report that was answered was sent, or the session began.
@@ -193,6 +194,7 @@
 	t := &Task{TaskReport: wire.TaskReport{Task: c.Task, Attempt: c.Attempt, State: wire.Fetching}}
 	w.Tasks = append(w.Tasks, t)
 	ref, idx, _ := strings.Cut(c.Task, "/")
+	w.Tried[ref]++
 	n, err := strconv.Atoi(idx)
 	job, ok := w.Find(ref)
 	if err != nil || !ok || n >= job.Tasks {
