--- a/internal/block/compact.go
+++ b/internal/block/compact.go
@@ -108,18 +108,11 @@
 }
 
 func (h *Holder) compacted(m Compacted) {
-	b := h.blocks[m.Block]
-	if b == nil || b.token != m.Token {
-		return
-	}
-	if m.Fenced {
-		h.void(b)
+	b := h.answeredFor(m.Block, m.Token, m.Fenced)
+	if b == nil || b.compacting == nil {
 		return
 	}
 	p := b.compacting
-	if p == nil {
-		return
-	}
 	b.compacting, p.busy = nil, false
 	// Unless it is known to be there, and the others gone, all of them are erased in the end.
 	if m.OK {
--- a/internal/block/cycle.go
+++ b/internal/block/cycle.go
@@ -214,20 +214,26 @@
 	w.h.emit(Record{Block: w.b.id, Token: w.b.token, Seq: w.cw.seq, Stamp: w.b.stamp, Pages: w.out})
 }
 
-func (h *Holder) recorded(now clock.Micros, m Recorded) {
-	b := h.blocks[m.Block]
-	if b == nil || b.token != m.Token {
-		return
+// answeredFor is the block whose write of start records has ended, if it still is ours.
+func (h *Holder) answeredFor(id int, token uint64, fenced bool) *blk {
+	b := h.blocks[id]
+	if b == nil || b.token != token {
+		return nil
 	}
-	if m.Fenced {
+	if fenced {
 		// Another holder has the block: what we know of it counts no more.
 		h.void(b)
-		return
+		return nil
 	}
-	w := b.writing
-	if w == nil || w.seq != m.Seq {
+	return b
+}
+
+func (h *Holder) recorded(now clock.Micros, m Recorded) {
+	b := h.answeredFor(m.Block, m.Token, m.Fenced)
+	if b == nil || b.writing == nil || b.writing.seq != m.Seq {
 		return
 	}
+	w := b.writing
 	b.writing = nil
 	b.seq, b.tell = b.taken, true
 	if m.TooLarge {
--- a/internal/leader/evict.go
+++ b/internal/leader/evict.go
@@ -41,6 +41,7 @@
 		return
 	}
 	var spaces []*space
+	var leaving uses
 	stopped := 0
 	for _, t := range teams {
 		for _, j := range t.urgent {
@@ -49,18 +50,26 @@
 			}
 			if spaces == nil {
 				l.lastEvict = now
-				spaces = l.spaces(now)
+				spaces, leaving = l.spaces(now)
 			}
-			if stopped += l.evictFor(now, t, j, spaces); stopped > mostEvicted {
+			if stopped += l.evictFor(now, t, j, spaces, leaving); stopped > mostEvicted {
 				return
 			}
 		}
 	}
 }
 
-// spaces are the machines that could take production work, by name.
-func (l *Leader) spaces(now clock.Micros) []*space {
-	on := map[string]*space{}
+// uses is what teams' tasks will give back, less what is to come.
+type uses map[string]use
+
+func (u uses) add(team string, cpus, gpus float64) {
+	u[team] = use{u[team].cpus + cpus, u[team].gpus + gpus}
+}
+
+// spaces are the machines that could take production work, by name, and what each team's
+// tasks give back that were told to stop.
+func (l *Leader) spaces(now clock.Micros) ([]*space, uses) {
+	on, leaving := map[string]*space{}, uses{}
 	for _, m := range l.machines {
 		if m.state.Fit && !m.drain && !m.deleting && m.block.state == granted {
 			on[m.name] = &space{m: m, cpus: m.state.CPUs, mem: m.state.Memory}
@@ -68,16 +77,20 @@
 	}
 	for _, b := range l.blocks {
 		for t, h := range b.tasks {
+			leaves := h.stopped != "" && now-h.stoppedAt < leavingFor
+			if leaves {
+				leaving.add(h.team, h.cpus, h.gpus)
+			}
 			at, j := on[h.machine], l.jobs[t.Job]
 			if at == nil || j == nil {
 				continue
 			}
 			mem := j.rec.Spec.MemoryGB
+			if leaves {
+				at.cpus += h.cpus
+				at.mem += mem
+			}
 			if h.stopped != "" {
-				if now-h.stoppedAt < leavingFor {
-					at.cpus += h.cpus
-					at.mem += mem
-				}
 				continue
 			}
 			rank := wire.Rank(j.rec.Spec.Priority)
@@ -99,30 +112,21 @@
 		})
 		out = append(out, at)
 	}
-	return out
+	return out, leaving
 }
 
 // evictFor makes room for the waiting tasks of one job, as far as it may run, and says how
 // many tasks it stopped.
-func (l *Leader) evictFor(now clock.Micros, t *teamQueue, j *job, spaces []*space) (stopped int) {
+func (l *Leader) evictFor(now clock.Micros, t *teamQueue, j *job, spaces []*space, leaving uses) (stopped int) {
 	s := &j.rec.Spec
 	zones := l.zones(j)
-	// What the team's tasks that leave give back.
-	u := *t.u
-	for _, b := range l.blocks {
-		for _, h := range b.tasks {
-			if h.team == s.Team && h.stopped != "" && now-h.stoppedAt < leavingFor {
-				u.cpus -= h.cpus
-				u.gpus -= h.gpus
-			}
-		}
-	}
 	standing := t.standing
 	for n := j.nWant; n > 0; n-- {
 		if s.Standing() && !t.mayStand(s, standing, l.cfg.Tuning.Queues.LeastShare) {
 			return stopped
 		}
 		// At its limit a team makes room for itself.
+		u := use{t.u.cpus - leaving[s.Team].cpus, t.u.gpus - leaving[s.Team].gpus}
 		own := !u.takes(s, t.team.CPUsMax, t.team.GPUsMax)
 		var best *space
 		var leave []int
@@ -143,10 +147,7 @@
 			best.victims = slices.Delete(best.victims, i, i+1)
 			best.cpus += v.h.cpus
 			best.mem += v.mem
-			if v.h.team == s.Team {
-				u.cpus -= v.h.cpus
-				u.gpus -= v.h.gpus
-			}
+			leaving.add(v.h.team, v.h.cpus, v.h.gpus)
 			v.h.stopped, v.h.stoppedAt = "evicted", now
 			best.m.block.orders.Stop = append(best.m.block.orders.Stop, peer.StopTask{Task: v.t})
 			stopped++
@@ -154,8 +155,7 @@
 		best.cpus -= s.CPUs
 		best.mem -= s.MemoryGB
 		zones.add(best.m.opt.Zone)
-		u.cpus += s.CPUs
-		u.gpus += s.GPUs
+		leaving.add(s.Team, -s.CPUs, -s.GPUs)
 		standing += s.CPUs
 	}
 	return stopped
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -346,15 +346,9 @@
 
 // runsWell says whether a replica of a service has run for a while, so that one that
 // fails elsewhere is its machine's fault.
-func (l *Leader) runsWell(now clock.Micros, j *job) bool {
-	for i := range j.out {
-		for _, b := range l.blocks {
-			if h := b.tasks[peer.Task{Job: j.rec.Spec.Ref, Index: i}]; h != nil && h.running && now-h.since > steady {
-				return true
-			}
-		}
-	}
-	return false
+func (l *Leader) runsWell(now clock.Micros, j *job) (well bool) {
+	l.eachHeld(j, func(h *held) { well = well || h.running && now-h.since > steady })
+	return well
 }
 
 // errored tells faulty machines from jobs that fail everywhere.
--- a/internal/leader/schedule.go
+++ b/internal/leader/schedule.go
@@ -310,24 +310,20 @@
 	apart map[string]map[string]int
 }
 
-// Why a service's next replica had better not go to a machine.
+// Why a job's next task had better not go to a machine.
 const (
-	sibling = 1 + iota // another is there: one machine's end must not end all
+	sibling = 1 + iota // a service's replica is there: one machine's end must not end all
 	failed             // one failed there
 )
 
-// taken are the machines that a service's next replica had better not go to, and why.
+// taken are the machines that a job's next task had better not go to, and why.
 func (r *freeRoom) taken(l *Leader, j *job) map[string]int {
 	s := &j.rec.Spec
 	on := r.apart[s.Ref]
 	if on == nil {
 		on = map[string]int{}
-		for i := range j.out {
-			for _, b := range l.blocks {
-				if h := b.tasks[peer.Task{Job: s.Ref, Index: i}]; h != nil {
-					on[h.machine] = sibling
-				}
-			}
+		if s.Standing() {
+			l.eachHeld(j, func(h *held) { on[h.machine] = sibling })
 		}
 		for name := range j.errAt {
 			on[name] = failed
@@ -475,14 +471,19 @@
 	if !z.job.OneZone && !z.job.Spread {
 		return z
 	}
+	l.eachHeld(j, func(h *held) { z.n[h.zone]++ })
+	return z
+}
+
+// eachHeld calls f for the job's tasks that are in grants.
+func (l *Leader) eachHeld(j *job, f func(*held)) {
 	for i := range j.out {
 		for _, b := range l.blocks {
-			if h := b.tasks[peer.Task{Job: z.job.Ref, Index: i}]; h != nil {
-				z.n[h.zone]++
+			if h := b.tasks[peer.Task{Job: j.rec.Spec.Ref, Index: i}]; h != nil {
+				f(h)
 			}
 		}
 	}
-	return z
 }
 
 func (z zones) allow(zone string) bool {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -422,9 +422,10 @@
 	case block.Inspect:
 		go n.inspect(x)
 	case block.Record:
-		go n.record(ctx, x)
+		// No task of it is ordered before the store has said yes.
+		go n.keep(ctx, store.Starts, x.Txn, func(o store.Outcome) any { return x.Settled(o) })
 	case block.Compact:
-		go n.compact(ctx, x)
+		go n.keep(ctx, store.Lazy, x.Txn, func(o store.Outcome) any { return x.Settled(o) })
 	case block.Erase:
 		go func() {
 			if _, err := n.store.Once(ctx, store.Lazy, x.Txn()); err != nil {
@@ -481,36 +482,20 @@
 	n.holder <- done
 }
 
-// record writes a start record; no task of it is ordered before the store has said yes.
-func (n *Node) record(ctx context.Context, r block.Record) {
+// keep writes start records and tells the holder what became of it.
+func (n *Node) keep(ctx context.Context, prio int, txn func() (wire.Txn, error), settled func(store.Outcome) any) {
 	ctx, cancel := context.WithTimeout(ctx, 8*time.Second)
 	defer cancel()
-	t, err := r.Txn()
+	t, err := txn()
 	if err != nil {
-		n.log.Error("record starts", "error", err)
+		n.log.Error("start records", "error", err)
 		return
 	}
-	o, err := n.store.Commit(ctx, store.Starts, t)
+	o, err := n.store.Commit(ctx, prio, t)
 	if err != nil {
-		n.log.Debug("start record not written", "error", err)
+		n.log.Debug("start records not written", "error", err)
 	}
-	n.holder <- r.Settled(o)
-}
-
-// compact puts a page of start records in the place of others when there is time for it.
-func (n *Node) compact(ctx context.Context, c block.Compact) {
-	ctx, cancel := context.WithTimeout(ctx, 8*time.Second)
-	defer cancel()
-	t, err := c.Txn()
-	if err != nil {
-		n.log.Error("compact start records", "error", err)
-		return
-	}
-	o, err := n.store.Commit(ctx, store.Lazy, t)
-	if err != nil {
-		n.log.Debug("start records not compacted", "error", err)
-	}
-	n.holder <- c.Settled(o)
+	n.holder <- settled(o)
 }
 
 type epoch struct {
--- a/internal/scenario/size_test.go
+++ b/internal/scenario/size_test.go
@@ -163,3 +163,84 @@
 	}
 	return n
 }
+
+// What a thousand replicas that stand cost, between batches that come and go, under lowered
+// limits of the state service: pages of start records, puts, memory, and a takeover.
+func TestStandingReplicasAtSize(t *testing.T) {
+	z := fleetSizes()[1]
+	z.machines, z.valueKB, z.txnOps, z.runS = 600, 2, 4, 8
+	w := z.world()
+	defer w.stop()
+	w.run(3 * clock.Second)
+	const services, replicas = 130, 8
+	up := func() (n int) {
+		for _, s := range w.workers {
+			for _, t := range s.Tasks {
+				if t.Job.Standing() && t.Holds() && !s.dead {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	stand := func(i int) {
+		ref := fmt.Sprintf("j-%06d", 5000+i)
+		body, err := json.Marshal(wire.Job{Ref: ref, Class: "s", Team: fmt.Sprint("t", i%z.teams), Shape: wire.Service, Priority: wire.Production, Tasks: replicas,
+			CPUs: 1, MemoryGB: 1.6, Image: fmt.Sprint("img", i%3), ImageGB: 2})
+		must(err)
+		if got := w.submit(w.nodes[i%3], body); got != "201 queued" {
+			t.Fatalf("submission %d: %s", i, got)
+		}
+	}
+	for i := range services {
+		if i%5 == 0 {
+			w.submitTo(t, &z, i, 300)
+		}
+		stand(i)
+		w.run(clock.Second)
+	}
+	w.run(120 * clock.Second)
+	if n := up(); n != services*replicas {
+		t.Fatalf("%d replicas run, want %d", n, services*replicas)
+	}
+	before := w.store.Puts
+	w.run(60 * clock.Second)
+	quiet := w.store.Puts - before
+	pages, _ := w.store.List("run/")
+	bytes := 0
+	for _, it := range pages {
+		bytes += len(it.Value)
+	}
+	if bytes > 75<<10 {
+		t.Errorf("%d pages of start records hold %d kB", len(pages), bytes>>10)
+	}
+	if quiet > 10 {
+		t.Errorf("%d puts in a minute in which nothing happens", quiet)
+	}
+	for _, n := range w.nodes {
+		n.crash()
+	}
+	w.run(4 * clock.Second)
+	for _, n := range w.nodes {
+		n.start()
+	}
+	back := w.now
+	for w.unanswered(back) > 0 && w.now < back+clock.Minute {
+		w.run(clock.Second / 2)
+	}
+	took := w.now - back
+	w.run(30 * clock.Second)
+	if n := up(); n != services*replicas {
+		t.Errorf("%d replicas run after a takeover", n)
+	}
+	for _, s := range w.workers {
+		if s.Session > 1 && !s.dead {
+			t.Fatalf("%s lost its lease", s.Name)
+		}
+	}
+	if len(w.broken)+w.malformed > 0 {
+		t.Errorf("rules: %v, %d malformed transactions", w.broken, w.malformed)
+	}
+	t.Logf("%d replicas: %d pages of %d kB in all, %d puts in a quiet minute, all workers answered %.1f s after all controllers were back, %.0f MB for the whole world",
+		services*replicas, len(pages), bytes>>10, quiet, took.Seconds(), heapMB())
+}
