--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -177,7 +177,7 @@
 		}
 	case "limits":
 		w.store.Lower(2, 4)
-		w.unannounced = w.next == nil
+		w.unannounced = w.next == nil || d.HasArg("early")
 	case "node":
 		for _, n := range w.pick(t, d) {
 			n.refused = d.HasArg("refused")
