--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -108,7 +108,7 @@
 	within                                                              map[string]float64 // by class: in how many seconds its jobs are expected done
 	teams                                                               map[string]config.Team
 	valueBytes, txnOps                                                  int                // most that a value and a transaction hold
-	awaited                                                             map[string]float64 // by class: in how many seconds its tasks are expected to start
+	awaited                                                             map[string]float64 // by class: in how many seconds its tasks are expected to start, and never to be done
 }
 
 type use struct{ cpus, gpus float64 }
@@ -135,6 +135,12 @@
 			l.awaited[o.Class] = o.WithinS
 		}
 	}
+	// What is expected to be done as well is no service.
+	for _, o := range cfg.Facts.Objectives {
+		if o.Kind == "finished" || o.Kind == "deadline" {
+			delete(l.awaited, o.Class)
+		}
+	}
 	for _, t := range cfg.Facts.Teams {
 		l.teams[t.Name] = t
 	}
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -316,7 +316,9 @@
 	if l.warm() != nil {
 		t.Error("room is kept though nothing is awaited")
 	}
-	l.awaited["web"] = 20
+	cfg := *l.cfg
+	cfg.Facts.Objectives = []config.Objective{{Kind: "wait", Class: "web", WithinS: 20}, {Kind: "wait", Class: "batch", WithinS: 4}, {Kind: "deadline", Class: "batch"}}
+	l.awaited = New(&cfg, l.storeOK).awaited
 	if l.warm() != nil {
 		t.Error("room is kept on a site where nothing runs")
 	}
--- a/internal/leader/needs.go
+++ b/internal/leader/needs.go
@@ -186,13 +186,13 @@
 	return boot
 }
 
-// warmCPUs at most are kept up, in ordinary machines, for each class that is expected to
-// start sooner than a machine boots and of which no job has come yet: what it takes is not
+// warmCPUs at most are kept up, in ordinary machines, for each class of services that is
+// expected to start sooner than a machine boots and of which no job has come yet: what it takes is not
 // known either, so this is for its first few jobs only. It is never more than a warmPart
 // of what runs, or a small site would pay for it with a large part of its machines.
 const (
 	warmCPUs = 24
-	warmPart = 0.04
+	warmPart = 0.08
 )
 
 func (l *Leader) warm() *fleet.Need {
