--- a/internal/leader/needs.go
+++ b/internal/leader/needs.go
@@ -96,9 +96,9 @@
 		return
 	}
 	in := l.zones(j)
-	for zone, k := range in.n {
-		add(zone, k)
-		most -= k
+	for _, zone := range slices.Sorted(maps.Keys(in.n)) {
+		add(zone, in.n[zone])
+		most -= in.n[zone]
 	}
 	for ; most > 0; most-- {
 		zone := slices.MinFunc(over, func(a, b string) int { return in.n[a] - in.n[b] })
