The gap as a time budget: grants are renewed only on a fresh view; late claims; mute machines

Cause: grants were shortened by cancel_s less lease_s less 4 s whatever the election's TTL, and a leader whose watch of the jobs hung while its lease was renewed went on renewing grants: tasks of cancelled jobs ran on for ever (scenario stale_watch), or for 2 s too long with a TTL of 8 s (gap). Now the leader renews grants and hands out tasks only on a view of the jobs not older than the TTL, and the grant time is what the budget leaves; none is an error at the start. Also: a claim carried out late hung on a lease that nobody renewed; a leader whose key was gone led on; a 200 to a machine that has not shown the token carries the kills of cancelled tasks, since it renews the lease; machines whose reports reach nobody get no work; stops come with the grant. Effects are in a fixed order: the same state gives the same effects. The scenario runner learns late transactions, a hung watch, mute and hung machines, reports kept for the next leader, FIFO links, and watches that no answer is older than one told and that nothing waits for 90 s beside room.

--- a/internal/block/cycle.go
+++ b/internal/block/cycle.go
@@ -68,7 +68,7 @@
 	var ms []*placement.Machine
 	if b.writing == nil && now < b.expires {
 		for _, m := range b.order {
-			if h.fit(now, m) && !m.rest {
+			if h.fit(now, b, m) && !m.rest {
 				if pm := h.room(m); pm.CPUs > 0 {
 					ms = append(ms, pm)
 				}
--- a/internal/block/dialogue.go
+++ b/internal/block/dialogue.go
@@ -203,9 +203,9 @@
 // observe takes in a worker's report and gives the commands to answer it with.
 // beat tells a report of the worker's own from the answer to a direct command.
 func (h *Holder) observe(now clock.Micros, b *blk, m *machine, r *wire.Report, beat bool) []wire.Command {
-	none := []wire.Command{}
+	cmds := []wire.Command{}
 	if r.Session < m.session || (r.Session == m.session && r.Seq <= m.seq) {
-		return none // older than what is known: it proves nothing
+		return cmds // older than what is known: it proves nothing
 	}
 	if m.typ != r.Type || m.notice != (r.NoticeS != nil) || m.lost || m.silent && m.deaf == 0 {
 		b.mark(m)
@@ -221,14 +221,19 @@
 	m.heard = now
 	m.lost = false
 	if r.Token != b.token {
-		// Not fenced yet: an older holder's commands may still be carried out.
-		return none
+		// Not fenced yet: an older holder's commands may still be carried out, so it proves
+		// nothing. But the answer renews the lease, so it ends what is to be stopped.
+		for _, t := range r.Tasks {
+			if rc := m.find(t.Attempt); rc != nil && rc.stop > 0 && t.State != wire.Exited {
+				cmds = append(cmds, rc.kill())
+			}
+		}
+		return cmds
 	}
 	if !m.shown {
 		m.shown = true
 		b.mark(m)
 	}
-	cmds := none
 	listed := make([]bool, len(m.recs))
 	had := slices.Clone(m.recs)
 	next := 0
--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -123,7 +123,7 @@
 // FromConfig makes a controller's holder.
 func FromConfig(cfg *config.Config, storeOK func() bool) *Holder {
 	f, t := &cfg.Facts, cfg.Tuning.Placement
-	return New(Params{Node: cfg.Name, GrantTime: cfg.GrantTime(), Lease: cfg.LeaseTime(), ReportTime: clock.FromSeconds(f.Workers.ReportS),
+	return New(Params{Node: cfg.Name, GrantTime: cfg.GrantTime(), LongestGrant: cfg.LongestGrant(), Lease: cfg.LeaseTime(), ReportTime: clock.FromSeconds(f.Workers.ReportS),
 		ValueBytes: cfg.ValueBytes(), TxnOps: cfg.TxnOps()},
 		placement.Params{K: t.K, Eta: t.Eta, Epsilon: t.Epsilon, Small: t.Small}, storeOK)
 }
@@ -426,9 +426,11 @@
 	}
 }
 
-// fit says whether a machine can be given tasks now.
-func (h *Holder) fit(now clock.Micros, m *machine) bool {
-	return m.shown && m.known && !m.drain && !m.notice && !m.gone && !m.lost && m.deaf == 0 && now-m.heard < 3*h.p.ReportTime
+// fit says whether a machine can be given tasks now. One that only answers commands, while
+// none of its reports comes, has a lease that runs out whatever it answers.
+func (h *Holder) fit(now clock.Micros, b *blk, m *machine) bool {
+	fresh := 3 * h.p.ReportTime
+	return now-max(m.answered, b.since) < fresh && m.shown && m.known && !m.drain && !m.notice && !m.gone && !m.lost && m.deaf == 0 && now-m.heard < fresh
 }
 
 // room is what is free on a machine; kept until something changes there.
@@ -492,7 +494,7 @@
 		// Silence proves the end only after every grant that could have answered, and the
 		// worker's lease. A session has its lease from its beginning, also when none of
 		// its reports was ever answered and its tasks were ordered directly.
-		base := max(m.answered, m.began, b.since+h.p.GrantTime.Longer())
+		base := max(m.answered, m.began, b.since+h.p.LongestGrant.Longer())
 		since := max(m.heard, b.since)
 		quiet := h.p.Lease * 11 / 20
 		if m.notice {
@@ -517,7 +519,7 @@
 		if (!m.shown && !m.lost && m.fenced > 0 || m.deaf > 0) && now-m.fenced > fenceAfter {
 			h.fence(now, b, m)
 		}
-		if fit := h.fit(now, m); fit != m.wasFit {
+		if fit := h.fit(now, b, m); fit != m.wasFit {
 			b.mark(m)
 		}
 	}
@@ -555,7 +557,7 @@
 		}
 		u := peer.BlockUpdate{Block: id, Token: b.token, Seq: b.seq, Events: b.events}
 		for _, m := range b.changed {
-			m.dirty, m.wasFit = false, h.fit(now, m)
+			m.dirty, m.wasFit = false, h.fit(now, b, m)
 			u.Machines = append(u.Machines, h.state(m))
 		}
 		b.events, b.changed, b.tell = nil, nil, false
--- a/internal/block/holder_test.go
+++ b/internal/block/holder_test.go
@@ -19,7 +19,7 @@
 // (attempt 1) and m2 (attempt 2).
 func holding(t *testing.T) *Holder {
 	t.Helper()
-	h := New(Params{Node: "n0", GrantTime: 20 * clock.Second, Lease: 20 * clock.Second, ReportTime: 3 * clock.Second, ValueBytes: 4000, TxnOps: 8},
+	h := New(Params{Node: "n0", GrantTime: 20 * clock.Second, LongestGrant: 20 * clock.Second, Lease: 20 * clock.Second, ReportTime: 3 * clock.Second, ValueBytes: 4000, TxnOps: 8},
 		placement.Params{K: 0.001, Eta: 0.05, Epsilon: 0.01, Small: 0.5}, func() bool { return true })
 	h.Step(now, Linked{Epoch: 9})
 	page := peer.RecordPage{Machines: []string{"m1", "m2"}, Groups: []peer.RecordGroup{{Job: task.Job, Team: "red", CPUs: 1, Starts: []int{3, 1, 0, 3, 2, 1}}}}
@@ -172,7 +172,7 @@
 }
 
 func fitNow(h *Holder, at clock.Micros, name string) bool {
-	return h.fit(at, h.blocks[0].machines[name])
+	return h.fit(at, h.blocks[0], h.blocks[0].machines[name])
 }
 
 // A machine whose reports come, but which does not hear us, gets no work until it
@@ -511,3 +511,36 @@
 		t.Errorf("a replica goes to %q, want m3, which has none", m)
 	}
 }
+
+// A machine that has not shown our token yet proves nothing, but a 200 renews its lease: the
+// answer ends the tasks of cancelled jobs, or they would go on for a lease more.
+func TestAnswerToAnUnfencedMachineEndsCancelledTasks(t *testing.T) {
+	h := holding(t)
+	h.Step(now, &peer.Down{Epoch: 9, Orders: []peer.BlockOrders{{Block: 0, Token: 50, Stop: []peer.StopTask{{Task: task}}}}})
+	a := answerOf(t, h.Step(now, beat("m1", 1, 41, wire.TaskReport{Task: TaskName(task), Attempt: 1, State: wire.Running})))
+	if len(a.Body.Commands) != 1 || a.Body.Commands[0].Op != wire.Kill || a.Body.Commands[0].Attempt != 1 {
+		t.Errorf("status %d with %+v, want the task ended", a.Status, a.Body.Commands)
+	}
+	if len(h.blocks[0].machines["m1"].recs) != 1 {
+		t.Error("taken for gone before the machine has shown the token")
+	}
+}
+
+// A machine whose own reports come to nobody loses its lease whatever it answers to commands:
+// it gets no work while that may be so.
+func TestMuteMachineGetsNoWork(t *testing.T) {
+	h := holding(t)
+	h.Step(now, beat("m1", 1, 50))
+	seq := uint64(1)
+	in := func(s clock.Micros) clock.Micros { return now + s*clock.Second }
+	for s := clock.Micros(2); s <= 12; s += 2 {
+		seq++
+		h.Step(in(s), Ordered{Orders: Orders{Block: 0, Machine: "m1", Body: wire.Orders{Token: 50, Session: 1}}, Status: 200, R: beat("m1", seq, 50).R})
+	}
+	if fitNow(h, in(12), "m1") {
+		t.Error("fit although none of its reports has come for four report times")
+	}
+	if h.Step(in(12), beat("m1", seq+1, 50)); !fitNow(h, in(12), "m1") {
+		t.Error("not fit although it reports again")
+	}
+}
--- a/internal/block/messages.go
+++ b/internal/block/messages.go
@@ -180,10 +180,12 @@
 
 // Params are a Holder's settings.
 type Params struct {
-	Node       string
-	GrantTime  clock.Micros
-	Lease      clock.Micros
-	ReportTime clock.Micros
-	ValueBytes int
-	TxnOps     int
+	Node      string
+	GrantTime clock.Micros
+	// LongestGrant is the most that any other holder's grant may last.
+	LongestGrant clock.Micros
+	Lease        clock.Micros
+	ReportTime   clock.Micros
+	ValueBytes   int
+	TxnOps       int
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -161,16 +161,49 @@
 	Tuning Tuning
 }
 
-// GrantTime is how long a grant lasts: the operators' value, but short enough
-// that a holder that lost touch stops answering in time for a cancelled task's
-// worker lease to run out within cancel_s.
+// GrantTime is how long a grant lasts: the operators' value, but no longer than the time
+// budget of a cancellation leaves. From its confirmation, by whichever controller, on
+//
+//   - for ViewTime a leader that has not seen it may renew grants,
+//   - for GrantTime a holder may answer reports under what was renewed,
+//   - for the workers' lease a task goes on after its last answered report was sent,
+//
+// and all of it ends cancelMargin before cancel_s is over.
 func (c *Config) GrantTime() clock.Micros {
+	return min(clock.FromSeconds(c.Tuning.Grants.TimeS), c.mostGrant())
+}
+
+// mostGrant is what the budget leaves for a grant.
+func (c *Config) mostGrant() clock.Micros {
+	return clock.FromSeconds(c.Facts.Workers.CancelS) - c.LeaseTime() - c.ViewTime() - cancelMargin
+}
+
+// cancelMargin is for drift (0.05% of each of the three), and for a worker that looks at its
+// lease only now and then.
+const cancelMargin = clock.Second
+
+// LongestGrant is what a grant may last with a holder of this version or the one before,
+// which left 4 s whatever the election's TTL: silence proves nothing before.
+func (c *Config) LongestGrant() clock.Micros {
 	w := c.Facts.Workers
-	most := w.CancelS - w.LeaseS - 4
-	if most < 2 {
-		most = 2
+	return max(c.GrantTime(), clock.FromSeconds(min(c.Tuning.Grants.TimeS, max(2, w.CancelS-w.LeaseS-4))))
+}
+
+// leastGrant is the shortest grant that is worth having: it is renewed every second.
+const leastGrant = 2 * clock.Second
+
+// ViewTime is how old the leader's view of the jobs may be for it to act on it. As long as
+// its authority lasts without a renewal, so that one bound holds whether it lost the
+// state service or only the news.
+func (c *Config) ViewTime() clock.Micros { return clock.FromSeconds(c.Tuning.Election.TTLS) }
+
+// budget says why no grant is short enough for a cancellation to be kept in time.
+func (c *Config) budget() error {
+	if most := c.mostGrant(); most < leastGrant {
+		return fmt.Errorf("workers.cancel_s %g leaves %.1f s for a grant, after workers.lease_s %g and election.ttl_s %g; at least %g s are needed",
+			c.Facts.Workers.CancelS, most.Seconds(), c.Facts.Workers.LeaseS, c.Tuning.Election.TTLS, leastGrant.Seconds())
 	}
-	return clock.FromSeconds(min(c.Tuning.Grants.TimeS, most))
+	return nil
 }
 
 // ValueMax is what a value of the state service may hold, now and later: limits may
@@ -232,7 +265,7 @@
 		return nil, fmt.Errorf("settings %s: %w", settings, err)
 	}
 	if tuning == "" {
-		return c, nil
+		return c, c.budget()
 	}
 	f, err := os.Open(tuning)
 	if err != nil {
@@ -247,7 +280,7 @@
 	if err := check(c.Tuning, "yaml"); err != nil {
 		return nil, fmt.Errorf("operators' settings %s: %w", tuning, err)
 	}
-	return c, nil
+	return c, c.budget()
 }
 
 // check names every missing or invalid field, in the file's own words, on one line.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -85,3 +85,26 @@
 		t.Errorf("%d bytes and %d operations with larger limits of later", c.ValueMax(), c.TxnOps())
 	}
 }
+
+// The time budget of a cancellation: the leader's view, a grant and a worker's lease, with
+// what clocks drift apart, end within cancel_s whatever the operators set; where nothing is
+// left for a grant, the program says so.
+func TestGrantFitsTheBudgetOfACancellation(t *testing.T) {
+	for _, ttl := range []float64{1, 3, 8, 12} {
+		for _, s := range [][2]float64{{22, 52}, {17, 37}, {31, 61}, {26.5, 46.5}} {
+			c := Config{Tuning: DefaultTuning()}
+			c.Tuning.Grants.TimeS, c.Tuning.Election.TTLS = 120, ttl
+			c.Facts.Workers.LeaseS, c.Facts.Workers.CancelS = s[0], s[1]
+			all := float64(c.ViewTime()+c.GrantTime()+c.LeaseTime()) / 1e6
+			if all += 0.0005*s[1] + 0.5; all > s[1] {
+				t.Errorf("ttl %g, lease %g, cancel %g: tasks may go on for %.2f s", ttl, s[0], s[1], all)
+			}
+			if c.LongestGrant() < c.GrantTime() {
+				t.Error("silence is taken for proof before a grant has ended")
+			}
+		}
+	}
+	if _, err := Load(write(t, "s.json", good), write(t, "t.yaml", "election: {ttl_s: 18}")); err == nil || !strings.Contains(err.Error(), "cancel_s") {
+		t.Errorf("error %v, want one that says that nothing is left for a grant", err)
+	}
+}
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -127,6 +127,8 @@
 	leaseAt  clock.Micros
 	asking   bool
 	claiming bool
+	lost     bool   // a claim under the present lease got no answer
+	doubt    bool   // so did one under an earlier lease: a key of ours may hang on that one
 	epoch    uint64 // ours; 0: we do not lead
 	until    clock.Micros
 	told     Follow // what was last said of who leads
@@ -175,11 +177,19 @@
 
 func (e *Elector) depose() {
 	e.emit(Depose{e.epoch})
-	e.emit(Drop{e.lease})
-	e.epoch, e.lease = 0, 0
+	e.epoch = 0
+	e.drop()
 	e.look()
 }
 
+// drop gives the lease up. A claim under it that got no answer may be carried out as long as
+// the lease lasts, also after newer ones.
+func (e *Elector) drop() {
+	e.emit(Drop{e.lease})
+	e.doubt = e.doubt || e.lost
+	e.lease, e.lost = 0, false
+}
+
 // look asks anew who leads; nothing is claimed until the answer is there.
 func (e *Elector) look() {
 	e.known = false
@@ -191,13 +201,17 @@
 		return // what the watch saw before a later read
 	}
 	e.known, e.seen = true, m
-	if e.epoch > 0 && m.Version > e.epoch {
-		e.depose()
+	if e.epoch > 0 && m.Version != e.epoch {
+		e.depose() // the key has gone with its lease, or is another's
 	}
 	// A claim whose answer was lost.
 	if e.epoch == 0 && m.Version > 0 && m.Record == e.me && e.lease > 0 {
-		e.win(now, m.Version)
-		return
+		if !e.doubt {
+			e.win(now, m.Version)
+			return
+		}
+		// Renewed under the wrong lease, the key would go while we lead. So none is, and it goes now.
+		e.drop()
 	}
 	if e.epoch == 0 {
 		e.follow(m.Version, m.Record.Node)
@@ -216,8 +230,7 @@
 	until := e.leaseAt + e.ttl.Shorter()
 	if now >= until {
 		// Too slow: the lease may be over already.
-		e.emit(Drop{e.lease})
-		e.lease = 0
+		e.drop()
 		return
 	}
 	e.epoch, e.until = epoch, until
@@ -236,8 +249,9 @@
 		e.seen = Seen{m.Outcome.Revision, e.me, m.Outcome.Revision}
 		e.win(now, m.Outcome.Revision)
 	case m.Outcome.NoLease:
-		e.lease = 0
+		e.lease, e.lost = 0, false
 	case errors.Is(m.Err, store.ErrUnknown):
+		e.lost = true
 		e.retryAt = now + e.ttl/10
 		e.look() // it may have been carried out
 	case m.Err == nil:
@@ -264,7 +278,7 @@
 		if e.epoch > 0 {
 			e.depose()
 		}
-		e.lease = 0
+		e.lease, e.lost = 0, false
 	default:
 		e.renewAt = now + e.ttl/20
 	}
@@ -285,8 +299,7 @@
 	}
 	if e.lease == 0 || now-e.leaseAt > e.ttl/4 {
 		if e.lease != 0 {
-			e.emit(Drop{e.lease})
-			e.lease = 0
+			e.drop()
 		}
 		e.asking = true
 		e.emit(GetLease{e.ttl})
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -50,3 +50,49 @@
 		t.Errorf("first effect %T, epoch %d: want the epoch given up", fx[0], e.Epoch())
 	}
 }
+
+// A claim without an answer may be carried out after its lease was given up for another: the
+// key then goes with a lease that nobody renews, so it must not be taken for an epoch whose
+// authority is renewed with the other.
+func TestLateClaimUnderAnEarlierLeaseIsNoEpoch(t *testing.T) {
+	me := Record{Node: "n0", Run: 1}
+	e := New(me, 3*clock.Second)
+	e.Step(0, Seen{Revision: 5})
+	e.Step(1000, Leased{Lease: 9, Sent: 500})
+	e.Step(1500*clock.Millisecond, Claimed{Lease: 9, Err: store.ErrUnknown})
+	e.Step(1510*clock.Millisecond, Seen{Revision: 5})
+	e.Step(2*clock.Second, Tick{}) // lease 9 is too old by now: another is asked for
+	e.Step(2010*clock.Millisecond, Leased{Lease: 10, Sent: 2 * clock.Second})
+	fx := e.Step(2020*clock.Millisecond, Seen{Version: 6, Record: me, Revision: 6})
+	if got := leads(fx); got != 0 {
+		t.Errorf("leads epoch %d, which goes with lease 9", got)
+	}
+	dropped := false
+	for _, f := range fx {
+		d, ok := f.(Drop)
+		dropped = dropped || ok && d.Lease == 10
+	}
+	if !dropped {
+		t.Error("keeps the lease under which the key may be")
+	}
+	// The key has gone: a new claim, answered, is ours.
+	e.Step(4*clock.Second, Seen{Revision: 7})
+	e.Step(4010*clock.Millisecond, Leased{Lease: 11, Sent: 4 * clock.Second})
+	if got := leads(e.Step(4020*clock.Millisecond, Claimed{Lease: 11, Outcome: store.Outcome{OK: true, Revision: 8}})); got != 8 {
+		t.Errorf("leads epoch %d, want 8", got)
+	}
+}
+
+// A leader whose key has gone from the state service leads no more, whatever its lease says.
+func TestLeaderWithoutItsKeyIsDeposed(t *testing.T) {
+	e := New(Record{Node: "n0", Run: 1}, 3*clock.Second)
+	e.Step(0, Seen{Revision: 5})
+	e.Step(1000, Leased{Lease: 9, Sent: 500})
+	e.Step(2000, Claimed{Lease: 9, Outcome: store.Outcome{OK: true, Revision: 6}})
+	if e.Step(3000, Seen{Revision: 5}); e.Epoch() != 6 {
+		t.Error("deposed by what was seen before the epoch")
+	}
+	if e.Step(4000, Seen{Revision: 7}); e.Epoch() != 0 {
+		t.Error("leads on without its key")
+	}
+}
--- a/internal/leader/grants.go
+++ b/internal/leader/grants.go
@@ -233,8 +233,8 @@
 }
 
 func (l *Leader) blocksWritten(now clock.Micros, tag blocksTag, o store.Outcome) {
-	for id, token := range tag.tokens {
-		b := l.blocks[id]
+	for _, id := range slices.Sorted(maps.Keys(tag.tokens)) {
+		b, token := l.blocks[id], tag.tokens[id]
 		if b.state != writing || b.token != token {
 			continue
 		}
@@ -321,9 +321,11 @@
 		roster = append(roster, peer.RosterMachine{Name: name, Address: mc.address})
 	}
 	// A controller that linked up before the epoch was loaded knows no types yet.
-	l.emit(Tell{b.link, peer.Down{Epoch: l.epoch, Holders: l.holders(), Types: l.typeList,
+	// What is to be stopped comes with the grant: no report may be answered between the two.
+	l.emit(Tell{b.link, peer.Down{Epoch: l.epoch, Holders: l.holders(), Types: l.typeList, Orders: []peer.BlockOrders{b.orders},
 		Grants: []peer.Grant{{Block: b.id, Token: b.token, Stamp: b.stamp, Pages: m.Pages, Machines: roster}}}})
-	for _, n := range l.nodes {
+	b.orders = peer.BlockOrders{}
+	for _, n := range l.byName() {
 		if n.link != b.link {
 			l.emit(Tell{n.link, peer.Down{Epoch: l.epoch, Holders: l.holders(), Types: l.typeList}})
 		}
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -178,16 +178,7 @@
 	delete(l.jobs, ref)
 	delete(l.counts, ref)
 	for _, b := range l.blocks {
-		var ts []peer.Task
-		for t := range b.tasks {
-			if t.Job == ref {
-				ts = append(ts, t)
-			}
-		}
-		slices.SortFunc(ts, func(a, c peer.Task) int { return a.Index - c.Index })
-		for _, t := range ts {
-			b.orders.Stop = append(b.orders.Stop, peer.StopTask{Task: t})
-		}
+		b.stop(ref)
 		// What has completed, too: a late copy of its order must not start it again.
 		for _, t := range b.unstored {
 			if t.Job == ref {
@@ -199,6 +190,17 @@
 	j.leaveShelves()
 }
 
+// stop tells the holder to end all tasks of a job.
+func (b *lblock) stop(ref string) {
+	from := len(b.orders.Stop)
+	for t := range b.tasks {
+		if t.Job == ref {
+			b.orders.Stop = append(b.orders.Stop, peer.StopTask{Task: t})
+		}
+	}
+	slices.SortFunc(b.orders.Stop[from:], func(a, c peer.StopTask) int { return a.Index - c.Index })
+}
+
 func (b *lblock) ack(stored func(peer.Task) bool) {
 	b.unstored = slices.DeleteFunc(b.unstored, func(t peer.Task) bool {
 		if stored(t) {
@@ -261,11 +263,7 @@
 	for _, b := range l.blocks {
 		b.ack(func(t peer.Task) bool { return t.Job == ref })
 		// A copy that a stale record still names must not run on.
-		for t := range b.tasks {
-			if t.Job == ref {
-				b.orders.Stop = append(b.orders.Stop, peer.StopTask{Task: t})
-			}
-		}
+		b.stop(ref)
 	}
 	j.leaveShelves()
 }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -77,6 +77,7 @@
 	loaded                                                              bool
 	until                                                               clock.Micros
 	began                                                               clock.Micros
+	viewed                                                              clock.Micros // the jobs are known as they were then, or later
 	tokens                                                              uint64
 	blocks                                                              []*lblock
 	nodes                                                               map[string]*node
@@ -182,6 +183,11 @@
 // processor time may wake after its authority has ended.
 func (l *Leader) authorised(now clock.Micros) bool { return l.leading && now < l.until }
 
+// current says whether the view of the jobs is fresh enough to renew grants and hand out
+// tasks on it. A watch may hang while all else is served: a leader that cannot know of
+// cancellations must not let the workers of their tasks go on (config.GrantTime).
+func (l *Leader) current(now clock.Micros) bool { return now < l.viewed+l.cfg.ViewTime().Shorter() }
+
 func (l *Leader) handle(now clock.Micros, msg any) {
 	switch m := msg.(type) {
 	case Loaded:
@@ -208,6 +214,7 @@
 			for _, e := range m.Events {
 				l.watched(now, e)
 			}
+			l.viewed = max(l.viewed, m.Asked)
 		}
 	case Committed:
 		if m.Epoch == l.epoch {
@@ -239,6 +246,11 @@
 	}
 }
 
+// byName are the controllers in touch in a fixed order: the same state gives the same effects.
+func (l *Leader) byName() []*node {
+	return slices.SortedFunc(maps.Values(l.nodes), func(a, b *node) int { return strings.Compare(a.name, b.name) })
+}
+
 func (l *Leader) emit(e any) { l.fx = append(l.fx, e) }
 
 func (l *Leader) info(text string, args ...any) { l.emit(Log{Text: text, Args: args}) }
@@ -268,6 +280,7 @@
 
 func (l *Leader) load(now clock.Micros, m Loaded) {
 	l.wall = m.Wall - now
+	l.viewed = m.Asked
 	n := l.cfg.Tuning.Grants.Blocks
 	haveLayout := false
 	stamps := map[string]uint64{}
@@ -358,7 +371,7 @@
 	if !same {
 		// Kept in the store so that submissions can be judged while the cloud is away.
 		l.commit(store.Normal, nil, nil, []wire.Write{put(CatalogKey, wire.Catalog{Types: ts})})
-		for _, n := range l.nodes {
+		for _, n := range l.byName() {
 			l.emit(Tell{n.link, peer.Down{Epoch: l.epoch, Types: ts}})
 		}
 	}
@@ -378,7 +391,7 @@
 	} else if n.badSince == 0 {
 		n.badSince = now
 	}
-	if m.Up.Renew > 0 && l.loaded && l.authorised(now) {
+	if m.Up.Renew > 0 && l.loaded && l.authorised(now) && l.current(now) {
 		d := peer.Down{Epoch: l.epoch, Renewed: m.Up.Renew, Tokens: map[int]uint64{}, StoreOK: l.storeOK()}
 		for _, b := range l.blocks {
 			if b.state == granted && b.link == m.Link {
@@ -600,7 +613,7 @@
 	if len(out) == 0 {
 		return
 	}
-	for _, n := range l.nodes {
+	for _, n := range l.byName() {
 		l.emit(Tell{n.link, peer.Down{Epoch: l.epoch, Counts: out}})
 	}
 }
@@ -629,8 +642,8 @@
 func (l *Leader) read(now clock.Micros, m Read) {
 	switch tag := m.Tag.(type) {
 	case blocksTag:
-		for id, token := range tag.tokens {
-			b := l.blocks[id]
+		for _, id := range slices.Sorted(maps.Keys(tag.tokens)) {
+			b, token := l.blocks[id], tag.tokens[id]
 			if block.Key(id) != m.Item.Key || b.state != writing || b.token != token {
 				continue
 			}
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -58,7 +58,7 @@
 	l.Step(now, Elected{Epoch: 5})
 	l.Step(now, Authority{Until: now + 100*clock.Second})
 	l.Step(now, Joined{Node: "n0", Link: "link"})
-	l.Step(now, Loaded{Epoch: 5, Items: []wire.Item{
+	l.Step(now, Loaded{Epoch: 5, Asked: now, Items: []wire.Item{
 		item(t, LayoutKey, 1, LayoutRecord{Blocks: 2}),
 		item(t, CatalogKey, 1, wire.Catalog{Types: []wire.MachineType{{Name: "small", CPUs: 4, MemoryGB: 8, ZoneNames: []string{"a"}}}}),
 		item(t, JobPrefix+spec.Ref, 2, JobRecord{Spec: spec}),
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -1,9 +1,11 @@
 package leader
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"swiftledge/internal/clock"
 	"swiftledge/internal/fleet"
@@ -87,11 +89,15 @@
 func (l *Leader) saveTasks(now clock.Micros, m *machine) {
 	b := m.block
 	var room *freeRoom
+	var on []peer.Task
 	for t, h := range b.tasks {
-		j := l.jobs[t.Job]
-		if h.machine != m.name || j == nil {
-			continue
+		if h.machine == m.name && l.jobs[t.Job] != nil {
+			on = append(on, t)
 		}
+	}
+	slices.SortFunc(on, func(a, c peer.Task) int { return cmp.Or(strings.Compare(a.Job, c.Job), a.Index-c.Index) })
+	for _, t := range on {
+		h, j := b.tasks[t], l.jobs[t.Job]
 		// A replica moves at once if there is room for it; else it runs to the end here.
 		moves := false
 		if j.rec.Spec.Standing() && m.state.Notice {
@@ -229,7 +235,9 @@
 		byKind[k] = append(byKind[k], name)
 	}
 	clear(l.found)
-	for k, names := range byKind {
+	kinds := slices.SortedFunc(maps.Keys(byKind), func(a, c wire.Rental) int { return strings.Compare(byKind[a][0], byKind[c][0]) })
+	for _, k := range kinds {
+		names := byKind[k]
 		// As many as a rental has at most: more might not fit into a value.
 		for part := range slices.Chunk(names, fleet.MostAtOnce) {
 			l.rentSeq++
--- a/internal/leader/messages.go
+++ b/internal/leader/messages.go
@@ -84,6 +84,7 @@
 		Items    []wire.Item
 		Revision uint64
 		Wall     clock.Micros // time of day
+		Asked    clock.Micros // when the jobs were asked for
 	}
 	// Joined is a new link to a controller, maybe to ourselves.
 	Joined struct {
@@ -103,10 +104,12 @@
 		Link any
 		Up   *peer.Up
 	}
-	// Watched are changes of jobs.
+	// Watched are changes of jobs, maybe none: all that there were until Asked, when they
+	// were asked for.
 	Watched struct {
 		Epoch  uint64
 		Events []wire.Event
+		Asked  clock.Micros
 	}
 	// Committed is the end of a transaction.
 	Committed struct {
--- a/internal/leader/schedule.go
+++ b/internal/leader/schedule.go
@@ -159,7 +159,7 @@
 // schedule hands waiting tasks to blocks with room: teams in turn by their
 // shares, guarantees first.
 func (l *Leader) schedule(now clock.Micros) {
-	if !l.stirred || !l.urgent && now-l.lastSchedule < gather {
+	if !l.stirred || !l.urgent && now-l.lastSchedule < gather || !l.current(now) {
 		return
 	}
 	// Until every block's start records are read, a task that waits here may run
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -607,6 +607,7 @@
 		var all []wire.Item
 		var rev uint64
 		var err error
+		asked := n.clock.Now()
 		for k, prefix := range []string{leader.JobPrefix, leader.LayoutKey, leader.CatalogKey, "block/", leader.ProgPrefix, leader.FleetPrefix} {
 			var items []wire.Item
 			var r uint64
@@ -619,7 +620,7 @@
 			all = append(all, items...)
 		}
 		if err == nil {
-			n.leader <- leader.Loaded{Epoch: epoch, Items: all, Revision: rev, Wall: clock.Wall()}
+			n.leader <- leader.Loaded{Epoch: epoch, Items: all, Revision: rev, Wall: clock.Wall(), Asked: asked}
 			n.watchJobs(ctx, epoch, rev)
 			return
 		}
@@ -630,14 +631,17 @@
 }
 
 func (n *Node) watchJobs(ctx context.Context, epoch, rev uint64) {
+	// Two answers, one behind the other, have to come within the time that a view may be old.
+	block := n.cfg.ViewTime() / 3
 	for i := 0; ctx.Err() == nil; {
-		a, err := n.store.Watch(ctx, leader.JobPrefix, rev, 10*clock.Second)
+		asked := n.clock.Now()
+		a, err := n.store.Watch(ctx, leader.JobPrefix, rev, block)
 		switch {
 		case err == nil:
 			i = 0
 			rev = max(rev, a.Revision)
-			if len(a.Events) > 0 && ctx.Err() == nil {
-				n.leader <- leader.Watched{Epoch: epoch, Events: a.Events}
+			if ctx.Err() == nil {
+				n.leader <- leader.Watched{Epoch: epoch, Events: a.Events, Asked: asked}
 			}
 		case errors.Is(err, store.ErrGone):
 			// Too far behind: a new epoch reads everything again.
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -64,6 +64,7 @@
 		f.Teams = append(f.Teams, config.Team{Name: name, CPUs: 8, CPUsMax: float64(limit)})
 	}
 	f.Workers.ReportS, f.Workers.LeaseS, f.Workers.CancelS = 3, 20, 45
+	cfg.Tuning.Election.TTLS = float64(arg(t, d, "ttl", 3))
 	f.State.RPS, f.State.WriteRPS = 100, 20
 	f.State.ValueKB, f.State.TxnOps = float64(arg(t, d, "value_kb", 4)), 8
 	if d.HasArg("next") {
@@ -92,10 +93,13 @@
 
 func (w *world) submit(n *simNode, body []byte) string {
 	r := n.svc.Submit(body)
+	var j wire.Job
+	if json.Unmarshal(body, &j) == nil {
+		w.hear(j.Ref, r)
+	}
 	if r.Code >= 400 {
 		return fmt.Sprintf("%d %s", r.Code, r.Why)
 	}
-	var j wire.Job
 	must(json.Unmarshal(body, &j))
 	w.jobs[j.Ref] = j
 	if _, ok := w.sent[j.Ref]; !ok {
@@ -148,13 +152,13 @@
 		w.run(span(t, d, "for"))
 		return ""
 	case "status":
-		r := node().svc.Look(ref)
+		r := w.hear(ref, node().svc.Look(ref))
 		if r.Code != 200 {
 			return fmt.Sprint(r.Code)
 		}
 		return r.Status.State
 	case "abort":
-		r := node().svc.Cancel(ref)
+		r := w.hear(ref, node().svc.Cancel(ref))
 		if r.Code != 200 {
 			return fmt.Sprint(r.Code)
 		}
@@ -162,6 +166,19 @@
 			w.aborted[ref] = w.now
 		}
 		return r.Status.State
+	case "call_off":
+		// A user that repeats the request, at one node after the other, until it is answered.
+		for i, end := 0, w.now+span(t, d, "within"); w.now < end; i++ {
+			n := w.nodes[i%len(w.nodes)]
+			if r := w.hear(ref, n.svc.Cancel(ref)); n.alive && r.Code == 200 {
+				if r.Status.State == wire.Cancelled {
+					w.aborted[ref] = w.now
+				}
+				return r.Status.State
+			}
+			w.run(clock.Second)
+		}
+		return "no answer"
 	case "await":
 		return w.await(node(), ref, arg(t, d, "state", wire.Done), span(t, d, "within"))
 	case "crash":
@@ -183,6 +200,8 @@
 			n.refused = d.HasArg("refused")
 			n.cut = d.HasArg("cut")
 			n.blind = d.HasArg("blind")
+			n.stale = d.HasArg("stale")
+			n.late = arg(t, d, "late", 0.0)
 			n.loseAnswers = arg(t, d, "lose", 0)
 			n.holdUntil = w.now + span(t, d, "hold")
 			n.frozenUntil = w.now + span(t, d, "frozen")
@@ -205,6 +224,9 @@
 			}
 			s.cut = d.HasArg("cut")
 			s.deaf = d.HasArg("deaf")
+			s.mute = d.HasArg("mute")
+			s.keeps = d.HasArg("keep")
+			s.hungUntil = w.now + span(t, d, "hang")
 			s.copies = span(t, d, "copies")
 			if d.HasArg("reboot") {
 				s.Reboot(w.now)
@@ -410,7 +432,7 @@
 			continue
 		}
 		w.run(clock.Second / 4)
-		if r := n.svc.Look(ref); r.Code == 200 && r.Status.State == state {
+		if r := w.hear(ref, n.svc.Look(ref)); r.Code == 200 && r.Status.State == state {
 			return state
 		}
 	}
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -80,6 +80,10 @@
 	cutUntil clock.Micros
 	// The cloud answers 503 to everything.
 	cloudDown bool
+	told      map[string]string       // by job: the latest state that any node told
+	fits      map[string]clock.Micros // by job: since when it waits beside room for it
+	calm      clock.Micros            // when the last trouble was over
+	tardy     map[string]int          // by job: run orders carried out well after its cancellation was told
 }
 
 // apart says whether the cut zone lies between two places; "" is the region.
@@ -99,10 +103,12 @@
 	name        string
 	gen         int
 	alive       bool
-	refused     bool // by the state service alone
-	cut         bool // from the other controllers
-	blind       bool // from the workers
-	loseAnswers int  // of the state service, while the requests are carried out
+	refused     bool    // by the state service alone
+	cut         bool    // from the other controllers
+	blind       bool    // from the workers
+	loseAnswers int     // of the state service, while the requests are carried out
+	late        float64 // share of its transactions that get no answer and are carried out seconds later
+	stale       bool    // its watch of the jobs hangs, all else is served
 	holdUntil   clock.Micros
 	frozenUntil clock.Micros // it stands still while its clocks run on
 	old         bool         // it goes by today's limits alone, as the version in production did
@@ -125,6 +131,7 @@
 	follower, leader *simNode
 	fgen, lgen       int
 	broken           bool
+	last             map[*simNode]clock.Micros // when the latest message to an end arrives
 }
 
 type simWorker struct {
@@ -139,6 +146,10 @@
 	holdUntil clock.Micros
 	dead      bool
 	deaf      bool         // what it says arrives, what it is told does not
+	mute      bool         // its reports reach nobody, while commands reach it
+	hungUntil clock.Micros // it does nothing until then, and goes on
+	keeps     bool         // copies of its reports are kept for the next leader
+	kept      []*wire.Report
 	copies    clock.Micros // reports and commands come once more, up to this much later
 }
 
@@ -158,7 +169,8 @@
 		store:  standin.NewStore(cfg.Facts.State.ValueKB, cfg.Facts.State.TxnOps),
 		cloud:  standin.NewCloud(types, clock.FromSeconds(cfg.Facts.Cloud.ListLagS)),
 		byName: map[string]*simWorker{}, holds: map[string][]held{},
-		jobs: map[string]wire.Job{}, runS: map[string]float64{}, aborted: map[string]clock.Micros{}, ran: map[string]int{}, next: cfg.Facts.State.Next, sent: map[string]clock.Micros{}, begun: map[string]clock.Micros{}}
+		jobs: map[string]wire.Job{}, runS: map[string]float64{}, aborted: map[string]clock.Micros{}, ran: map[string]int{}, next: cfg.Facts.State.Next, sent: map[string]clock.Micros{}, begun: map[string]clock.Micros{},
+		told: map[string]string{}, fits: map[string]clock.Micros{}, tardy: map[string]int{}}
 	for i := range cfg.Facts.InitialSize {
 		n := &simNode{w: w, i: i, name: fmt.Sprintf("n%d", i), cfg: cfg}
 		n.cfg.Name = n.name
@@ -213,9 +225,108 @@
 			}
 		}
 	}
+	w.watchWaiting()
 	w.after(step, w.tick)
 }
 
+// troubled says whether anything is wrong that a scenario has brought about.
+func (w *world) troubled() bool {
+	return w.store.Down || w.cloudDown || w.now < w.cutUntil ||
+		slices.ContainsFunc(w.nodes, func(n *simNode) bool {
+			return !n.alive || n.refused || n.cut || n.blind || n.stale || n.late > 0 || n.loseAnswers > 0 || n.holdUntil > w.now || n.frozenUntil > w.now
+		}) ||
+		slices.ContainsFunc(w.workers, func(s *simWorker) bool {
+			return !s.rented.Gone && (s.dead || s.cut || s.deaf || s.mute || s.Sick || s.copies > 0 || s.keeps || s.holdUntil > w.now || s.hungUntil > w.now)
+		})
+}
+
+// idleFor is how long a job may wait beside room for it once all troubles are over.
+const idleFor = 90 * clock.Second
+
+// watchWaiting judges, once a second, that no job is left waiting while a machine that fits
+// has room and its team is under its limit.
+func (w *world) watchWaiting() {
+	if w.now%clock.Second >= step {
+		return
+	}
+	if w.troubled() {
+		w.calm = w.now
+		clear(w.fits)
+		return
+	}
+	use := map[string]float64{}
+	on, at := map[string]int{}, map[string]int{}
+	type room struct{ cpus, mem float64 }
+	free := map[*simWorker]room{}
+	for _, s := range w.workers {
+		if s.dead || s.NoticeS != nil {
+			continue
+		}
+		r := room{s.CPUs, s.Memory}
+		for _, t := range s.Tasks {
+			if t.State != wire.Exited {
+				r.cpus -= t.Job.CPUs
+				r.mem -= t.Job.MemoryGB
+				use[t.Job.Team] += t.Job.CPUs
+				on[t.Job.Ref]++
+			}
+		}
+		free[s] = r
+	}
+	for t := range w.ran {
+		ref, _, _ := strings.Cut(t, "/")
+		at[ref]++
+	}
+	for ref, j := range w.jobs {
+		team, _ := w.cfg.Team(j.Team)
+		_, over := w.store.Get(leader.EndPrefix + ref)
+		waits := !over && !j.Standing() && !j.OneZone && !j.Spread && at[ref]+on[ref] < j.Tasks && use[j.Team]+j.CPUs <= team.CPUsMax
+		if waits {
+			waits = false
+			for s, r := range free {
+				if (j.Spot || !s.Spot) && (len(j.Types) == 0 || slices.Contains(j.Types, s.Type)) && (j.Zone == "" || j.Zone == s.Zone) &&
+					r.cpus >= j.CPUs && r.mem >= j.MemoryGB {
+					waits = true
+					break
+				}
+			}
+		}
+		if !waits {
+			delete(w.fits, ref)
+			continue
+		}
+		if _, ok := w.fits[ref]; !ok {
+			w.fits[ref] = w.now
+		}
+		if w.now-w.fits[ref] > idleFor {
+			w.breaks("waits: %s beside room for it", ref)
+		}
+	}
+}
+
+// hear judges an answer to a user by what any node has told before: none may be older.
+func (w *world) hear(ref string, r api.Result) api.Result {
+	state := ""
+	switch {
+	case r.Code == 200 || r.Code == 201:
+		state = r.Status.State
+	case r.Code == 404:
+		state = "unknown"
+	}
+	if _, submitted := w.runS[ref]; state == "" || state == "unknown" && (!submitted || w.told[ref] == "") {
+		return r
+	}
+	before := w.told[ref]
+	final := before == wire.Done || before == wire.Cancelled
+	if state == "unknown" || final && state != before {
+		w.breaks("went_back: %s is %s after %s", ref, state, before)
+	}
+	if !final {
+		w.told[ref] = state
+	}
+	return r
+}
+
 func sortedKeys[V any](m map[string]V) []string {
 	out := make([]string, 0, len(m))
 	for k := range m {
@@ -263,8 +374,11 @@
 	if _, ok := w.begun[t.Job.Ref]; !ok {
 		w.begun[t.Job.Ref] = w.now
 	}
-	if told, ok := w.aborted[t.Job.Ref]; ok && w.now-told > clock.FromSeconds(w.cfg.Facts.Workers.CancelS) {
-		w.breaks("ran_cancelled: %s starts on %s", t.Task, at.Name)
+	if told, ok := w.aborted[t.Job.Ref]; ok {
+		if w.now-told > clock.FromSeconds(w.cfg.Facts.Workers.CancelS) {
+			w.breaks("ran_cancelled: %s starts on %s", t.Task, at.Name)
+		}
+		w.tardy[t.Job.Ref]++
 	}
 	if j := &t.Job; at.Spot && !j.Spot || len(j.Types) > 0 && !slices.Contains(j.Types, at.Type) || j.Zone != "" && j.Zone != at.Zone {
 		w.breaks("wrong_place: %s on %s", t.Task, at.Name)
@@ -305,6 +419,9 @@
 	if s.dead {
 		return
 	}
+	if s.hungUntil > w.now {
+		return
+	}
 	if s.Advance(w.now) {
 		s.changed(w)
 	}
@@ -326,6 +443,12 @@
 		w.after(wait, func() { s.busy, s.target, s.nextAt = false, to, w.now })
 	}
 	w.after(4*clock.Second, func() { next((s.target+1)%len(w.nodes), clock.Second) })
+	if s.keeps {
+		s.kept = append(s.kept, r)
+	}
+	if s.mute {
+		return
+	}
 	s.again(w, func() {
 		// Whichever controller it reaches, nobody waits for the answer.
 		if o := w.nodes[w.rng.IntN(len(w.nodes))]; o.alive && !o.blind && !w.apart(s.Zone, o.cfg.Zone) {
@@ -377,6 +500,8 @@
 		d += w.cutUntil - w.now
 	case s.holdUntil > w.now:
 		d += s.holdUntil - w.now
+	case s.hungUntil > w.now:
+		d += s.hungUntil - w.now
 	case s.cut:
 		return
 	}
@@ -472,12 +597,10 @@
 			n.jobEpoch = 0
 			n.electorStep(election.Resign{Epoch: epoch})
 		}
-		if n.jobEpoch > 0 {
+		if n.jobEpoch > 0 && !n.stale {
 			a := n.w.store.Since(leader.JobPrefix, n.jobRev)
 			n.jobRev = max(n.jobRev, a.Revision)
-			if len(a.Events) > 0 {
-				n.leaderStep(leader.Watched{Epoch: n.jobEpoch, Events: a.Events})
-			}
+			n.leaderStep(leader.Watched{Epoch: n.jobEpoch, Events: a.Events, Asked: n.w.now})
 		}
 	}
 	n.electorStep(election.Tick{})
@@ -525,9 +648,27 @@
 	})
 }
 
+// delayed says whether a transaction gets no answer, and has it carried out after newer ones.
+func (n *simNode) delayed(t wire.Txn) bool {
+	w := n.w
+	if n.late == 0 || !n.reaches() || w.rng.Float64() >= n.late {
+		return false
+	}
+	w.after(2*clock.Second+clock.Micros(w.rng.Int64N(int64(10*clock.Second))), func() {
+		if !w.store.Down {
+			w.store.Txn(t)
+		}
+	})
+	return true
+}
+
 func (n *simNode) txn(t wire.Txn, answer func(store.Outcome, error)) {
 	var o store.Outcome
 	var problem string
+	if n.delayed(t) {
+		n.w.after(1500*clock.Millisecond, n.still(func() { answer(o, store.ErrUnknown) }))
+		return
+	}
 	n.ask(func() { o, problem = n.w.store.Txn(t) }, func(err error) {
 		if err == nil && problem != "" {
 			err = errors.New(problem)
@@ -576,6 +717,9 @@
 	if !n.reaches() {
 		return store.Outcome{}, store.ErrRefused
 	}
+	if n.delayed(t) {
+		return store.Outcome{}, store.ErrUnknown
+	}
 	o, problem := n.w.store.Txn(t)
 	if problem != "" {
 		return o, errors.New(problem)
@@ -640,6 +784,7 @@
 	case election.Look:
 		n.look()
 	case election.Lead:
+		w.release()
 		n.leaderStep(leader.Elected{Epoch: x.Epoch, Run: uint64(n.gen)})
 		n.leaderStep(leader.Authority{Until: x.Until})
 	case election.Extend:
@@ -656,6 +801,25 @@
 	}
 }
 
+// release lets the reports that were kept for the next leader arrive at every controller, as
+// it begins and again when it has acted.
+func (w *world) release() {
+	for _, s := range w.workers {
+		for i, r := range s.kept {
+			for _, o := range w.nodes {
+				for _, d := range []clock.Micros{clock.Millisecond, 300 * clock.Millisecond, 2 * clock.Second, 6 * clock.Second} {
+					w.after(d+clock.Micros(i), func() {
+						if o.alive && !o.blind {
+							o.still(func() { o.holderStep(block.Report{R: r, Tag: func(block.Answer) {}}) })()
+						}
+					})
+				}
+			}
+		}
+		s.kept = nil
+	}
+}
+
 func (n *simNode) follow(epoch uint64, name string) {
 	w := n.w
 	w.after(w.lat(), n.still(func() {
@@ -676,7 +840,7 @@
 		if n.link != nil {
 			n.link.end()
 		}
-		l := &simLink{epoch: epoch, follower: n, leader: to, fgen: n.gen, lgen: to.gen}
+		l := &simLink{epoch: epoch, follower: n, leader: to, fgen: n.gen, lgen: to.gen, last: map[*simNode]clock.Micros{}}
 		n.link = l
 		to.leaderStep(leader.Joined{Node: n.name, Run: uint64(n.gen), Link: l})
 		n.holderStep(block.Linked{Epoch: epoch})
@@ -718,7 +882,10 @@
 		w.after(4*clock.Second, l.end)
 		return
 	}
-	w.after(w.lat(), func() {
+	// As over TCP, nothing overtakes.
+	at := max(w.now+w.lat(), l.last[to])
+	l.last[to] = at
+	w.after(at-w.now, func() {
 		to.awake(func() {
 			if !l.broken && l.follower.alive && l.leader.alive && l.follower.gen == l.fgen && l.leader.gen == l.lgen {
 				f()
@@ -892,6 +1059,7 @@
 func (n *simNode) load(epoch uint64) {
 	var items []wire.Item
 	var rev uint64
+	asked := n.w.now
 	n.ask(func() {
 		items = nil
 		all, r := n.w.store.List("")
@@ -910,7 +1078,7 @@
 			return
 		}
 		n.jobEpoch, n.jobRev = epoch, rev
-		n.leaderStep(leader.Loaded{Epoch: epoch, Items: items, Revision: rev, Wall: n.w.now})
+		n.leaderStep(leader.Loaded{Epoch: epoch, Items: items, Revision: rev, Wall: n.w.now, Asked: asked})
 	})
 }
 
