--- a/internal/leader/evict.go
+++ b/internal/leader/evict.go
@@ -132,7 +132,7 @@
 		var leave []int
 		cost := 0.0
 		for _, at := range spaces {
-			if !at.m.allowed(s) || !zones.allow(at.m.opt.Zone) || j.barred(now, at.m) || at.m.state.GPUs+1e-9 < s.GPUs {
+			if !at.m.allowed(now, j) || !zones.allow(at.m.opt.Zone) || j.barred(now, at.m) || at.m.state.GPUs+1e-9 < s.GPUs {
 				continue
 			}
 			if who, c, ok := at.makes(s, own); ok && (best == nil || c < cost) {
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -48,6 +48,7 @@
 	errAt     map[string]clock.Micros // by machine: when one of its tasks last failed there
 	errs      int
 	notBefore clock.Micros
+	waits     clock.Micros     // since when its tasks wait for room and none was handed out; 0: none waits
 	replicas  map[int]*replica // of a service, those that ended and were to go on
 }
 
@@ -146,6 +147,13 @@
 	}
 }
 
+// unservedFor is how long a job's tasks may wait, and none be handed out, before they go to
+// machines not worth their price as well: nothing is to be left waiting for 90 s beside room.
+const unservedFor = 45 * clock.Second
+
+// unserved says whether the job has waited for that long.
+func (j *job) unserved(now clock.Micros) bool { return j.waits > 0 && now-j.waits > unservedFor }
+
 // begun says whether a task of the job was ever handed out.
 func (j *job) begun() bool { return j.nDone > 0 || len(j.out) > 0 }
 
--- a/internal/leader/schedule.go
+++ b/internal/leader/schedule.go
@@ -244,6 +244,12 @@
 		if age > old {
 			t.use[aged] += cpus
 		}
+		switch {
+		case j.nWant == 0:
+			j.waits = 0
+		case j.waits == 0 || !t.u.takes(s, t.team.CPUsMax, t.team.GPUsMax):
+			j.waits = now // for room, not for the team's limit
+		}
 		if j.nWant > 0 && now >= j.notBefore && !j.cancelled {
 			if wire.Rank(s.Priority) == 0 {
 				t.urgent = append(t.urgent, j)
@@ -301,6 +307,7 @@
 		}
 		b.orders.Offers[at].Indexes = append(b.orders.Offers[at].Indexes, i)
 		given++
+		j.waits = now
 	}
 	return given
 }
@@ -342,9 +349,10 @@
 // roomKey names a list of machines as one shape of task sees it: all of them, or
 // those with an image.
 type roomKey struct {
-	shape shape
-	all   bool
-	image string
+	shape    shape
+	all      bool
+	image    string
+	unserved bool
 }
 
 func (l *Leader) freeRoom(now clock.Micros) *freeRoom {
@@ -401,8 +409,10 @@
 
 // allowed says whether the job may run on the machine. One that is not worth its price
 // for a batch is for a service, which makes it worth keeping.
-func (m *machine) allowed(s *wire.Job) bool {
-	return (!m.shun || s.Standing()) && (s.Spot || !m.opt.Spot) && (s.Zone == "" || s.Zone == m.opt.Zone) &&
+// What waits for long does not wait for a better one.
+func (m *machine) allowed(now clock.Micros, j *job) bool {
+	s := &j.rec.Spec
+	return (!m.shun || s.Standing() || j.unserved(now)) && (s.Spot || !m.opt.Spot) && (s.Zone == "" || s.Zone == m.opt.Zone) &&
 		(len(s.Types) == 0 || slices.Contains(s.Types, m.opt.Type.Name))
 }
 
@@ -410,7 +420,7 @@
 func (r *freeRoom) first(list []*machine, k roomKey, j *job) *machine {
 	s := &j.rec.Spec
 	for i := r.passed[k]; i < len(list); i++ {
-		if m := list[i]; m.holds(s) && m.allowed(s) {
+		if m := list[i]; m.holds(s) && m.allowed(r.now, j) {
 			if _, ok := j.errAt[m.name]; !ok {
 				return m
 			}
@@ -428,15 +438,15 @@
 	if s.OneZone || s.Spread || s.Standing() {
 		return l.roomInZone(j, room)
 	}
-	if m := room.first(room.byImage[s.Image], roomKey{shape: j.shape, image: s.Image}, j); m != nil {
+	if m := room.first(room.byImage[s.Image], roomKey{shape: j.shape, image: s.Image, unserved: j.unserved(room.now)}, j); m != nil {
 		return m, ""
 	}
-	if m := room.first(room.ms, roomKey{shape: j.shape, all: true}, j); m != nil {
+	if m := room.first(room.ms, roomKey{shape: j.shape, all: true, unserved: j.unserved(room.now)}, j); m != nil {
 		return m, ""
 	}
 	// Better where it failed before than nowhere.
 	for _, m := range room.ms {
-		if _, ok := j.errAt[m.name]; ok && m.holds(s) && m.allowed(s) {
+		if _, ok := j.errAt[m.name]; ok && m.holds(s) && m.allowed(room.now, j) {
 			return m, ""
 		}
 	}
@@ -451,7 +461,7 @@
 	var best *machine
 	for _, list := range [][]*machine{room.byImage[s.Image], room.ms} {
 		for _, m := range list {
-			if !m.holds(s) || !m.allowed(s) || !zones.allow(m.opt.Zone) || j.barred(room.now, m) {
+			if !m.holds(s) || !m.allowed(room.now, j) || !zones.allow(m.opt.Zone) || j.barred(room.now, m) {
 				continue
 			}
 			if best == nil || avoid[m.name] < avoid[best.name] {
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -72,9 +72,10 @@
 	}
 	f.Cloud.RPS, f.Cloud.ListLagS = 4, 4
 	f.Quota.CPU, f.Quota.MemMB, f.Quota.MaxSockets = 0.1, 125, 1500
+	boot := float64(arg(t, d, "boot", 10))
 	types := []wire.MachineType{
-		{Name: "small", CPUs: 4, MemoryGB: 8, CacheGB: 40, FetchGBPS: 1, Price: 0.3, SpotPrice: 0.1, BootS: 10, ZoneNames: []string{"a", "b"}},
-		{Name: "big", CPUs: 16, MemoryGB: 64, CacheGB: 40, FetchGBPS: 1, Price: 1.3, SpotPrice: 0.5, BootS: 10, ZoneNames: []string{"a"}},
+		{Name: "small", CPUs: 4, MemoryGB: 8, CacheGB: 40, FetchGBPS: 1, Price: 0.3, SpotPrice: 0.1, BootS: boot, ZoneNames: []string{"a", "b"}},
+		{Name: "big", CPUs: 16, MemoryGB: 64, CacheGB: 40, FetchGBPS: 1, Price: 1.3, SpotPrice: 0.5, BootS: boot, ZoneNames: []string{"a"}},
 	}
 	w := newWorld(cfg, types, uint64(arg(t, d, "seed", 1)))
 	w.cloud.Capacity = arg(t, d, "capacity", 0)
@@ -85,7 +86,7 @@
 		}
 	}
 	for i := range arg(t, d, "machines", 0) {
-		m := w.cloud.Add(0, "small", f.Zones[i%2], arg(t, d, "spot", false))
+		m := w.cloud.Add(0, "small", f.Zones[i%2], d.HasArg("spot"))
 		m.UpAt, m.Listed = 0, 0
 	}
 	return w
@@ -122,8 +123,9 @@
 		"rank": arg(t, d, "rank", "standard"), "lots": arg(t, d, "tasks", 1), "cpus": arg(t, d, "cpus", 1.0), "accelerators": 0.0,
 		"ramGb": arg(t, d, "mem", 1.0), "kit": "img", "imageGb": 1.0, "breeds": types, "paddock": nil,
 		"together": d.HasArg("together"), "scatter": d.HasArg("scatter"), "stray": !d.HasArg("nospot"),
-		"reckonS": float64(arg(t, d, "run", 10)), "waypointS": float64(arg(t, d, "waypoint", 0)), "stashS": 2.0, "dueS": due})
+		"reckonS": float64(arg(t, d, "reckon", arg(t, d, "run", 10))), "waypointS": float64(arg(t, d, "waypoint", 0)), "stashS": 2.0, "dueS": due})
 	must(err)
+	w.bodies[ref] = body
 	w.runS[ref] = float64(arg(t, d, "run", 10))
 	if arg(t, d, "shape", wire.Batch) == wire.Service {
 		w.runS[ref] = float64(arg(t, d, "ends", 0))
@@ -131,6 +133,18 @@
 	return body
 }
 
+// callOff cancels a job and gives its state, or the code of the answer.
+func (w *world) callOff(n *simNode, ref string) string {
+	r := w.hear(ref, n.svc.Cancel(ref))
+	if r.Code != 200 {
+		return fmt.Sprint(r.Code)
+	}
+	if _, ok := w.aborted[ref]; !ok && r.Status.State == wire.Cancelled {
+		w.aborted[ref] = w.now
+	}
+	return r.Status.State
+}
+
 func command(t *testing.T, w *world, d *datadriven.TestData) string {
 	node := func() *simNode { return w.nodes[arg(t, d, "node", 0)] }
 	ref := arg(t, d, "ref", "")
@@ -142,8 +156,13 @@
 		every, end := span(t, d, "every"), w.now+span(t, d, "for")
 		first := arg(t, d, "first", 0)
 		for i := 0; w.now+clock.Micros(i)*every < end; i++ {
-			body := w.body(t, d, fmt.Sprintf("j-%06d", first+i))
+			ref := fmt.Sprintf("j-%06d", first+i)
+			body := w.body(t, d, ref)
 			w.after(clock.Micros(i)*every, func() { w.submit(node(), body) })
+			// Some of them are called off, a while later, at whichever controller.
+			if off := arg(t, d, "off", 0); off > 0 && i%off == 0 {
+				w.after(clock.Micros(i)*every+span(t, d, "after"), func() { w.callOff(w.nodes[i%len(w.nodes)], ref) })
+			}
 		}
 		return ""
 	case "raw":
@@ -158,23 +177,14 @@
 		}
 		return r.Status.State
 	case "abort":
-		r := w.hear(ref, node().svc.Cancel(ref))
-		if r.Code != 200 {
-			return fmt.Sprint(r.Code)
-		}
-		if r.Status.State == wire.Cancelled {
-			w.aborted[ref] = w.now
-		}
-		return r.Status.State
+		return w.callOff(node(), ref)
 	case "call_off":
 		// A user that repeats the request, at one node after the other, until it is answered.
 		for i, end := 0, w.now+span(t, d, "within"); w.now < end; i++ {
-			n := w.nodes[i%len(w.nodes)]
-			if r := w.hear(ref, n.svc.Cancel(ref)); n.alive && r.Code == 200 {
-				if r.Status.State == wire.Cancelled {
-					w.aborted[ref] = w.now
+			if n := w.nodes[i%len(w.nodes)]; n.alive {
+				if state := w.callOff(n, ref); state == wire.Cancelled || state == wire.Done {
+					return state
 				}
-				return r.Status.State
 			}
 			w.run(clock.Second)
 		}
@@ -192,6 +202,8 @@
 				n.start()
 			}
 		}
+	case "looks":
+		w.looks = !d.HasArg("over")
 	case "limits":
 		w.store.Lower(2, 4)
 		w.unannounced = w.next == nil || d.HasArg("early")
@@ -203,6 +215,7 @@
 			n.stale = d.HasArg("stale")
 			n.late = arg(t, d, "late", 0.0)
 			n.loseAnswers = arg(t, d, "lose", 0)
+			n.lost = arg(t, d, "lost", 0.0)
 			n.holdUntil = w.now + span(t, d, "hold")
 			n.frozenUntil = w.now + span(t, d, "frozen")
 		}
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -83,7 +83,8 @@
 	told      map[string]string       // by job: the latest state that any node told
 	fits      map[string]clock.Micros // by job: since when it waits beside room for it
 	calm      clock.Micros            // when the last trouble was over
-	tardy     map[string]int          // by job: run orders carried out well after its cancellation was told
+	bodies    map[string][]byte       // submissions
+	looks     bool                    // users ask everywhere, and submit again, as soon as something was told
 }
 
 // apart says whether the cut zone lies between two places; "" is the region.
@@ -107,6 +108,7 @@
 	cut         bool    // from the other controllers
 	blind       bool    // from the workers
 	loseAnswers int     // of the state service, while the requests are carried out
+	lost        float64 // share of its transactions that are carried out at once and get no answer
 	late        float64 // share of its transactions that get no answer and are carried out seconds later
 	stale       bool    // its watch of the jobs hangs, all else is served
 	holdUntil   clock.Micros
@@ -170,7 +172,7 @@
 		cloud:  standin.NewCloud(types, clock.FromSeconds(cfg.Facts.Cloud.ListLagS)),
 		byName: map[string]*simWorker{}, holds: map[string][]held{},
 		jobs: map[string]wire.Job{}, runS: map[string]float64{}, aborted: map[string]clock.Micros{}, ran: map[string]int{}, next: cfg.Facts.State.Next, sent: map[string]clock.Micros{}, begun: map[string]clock.Micros{},
-		told: map[string]string{}, fits: map[string]clock.Micros{}, tardy: map[string]int{}}
+		told: map[string]string{}, fits: map[string]clock.Micros{}, bodies: map[string][]byte{}}
 	for i := range cfg.Facts.InitialSize {
 		n := &simNode{w: w, i: i, name: fmt.Sprintf("n%d", i), cfg: cfg}
 		n.cfg.Name = n.name
@@ -226,6 +228,13 @@
 		}
 	}
 	w.watchWaiting()
+	if w.looks {
+		for i, ref := range sortedKeys(w.jobs) {
+			if n := w.nodes[(int(w.now/step)+i)%len(w.nodes)]; n.alive && n.frozenUntil <= w.now && w.told[ref] != wire.Done && w.told[ref] != wire.Cancelled {
+				w.hear(ref, n.svc.Look(ref))
+			}
+		}
+	}
 	w.after(step, w.tick)
 }
 
@@ -233,7 +242,7 @@
 func (w *world) troubled() bool {
 	return w.store.Down || w.cloudDown || w.now < w.cutUntil ||
 		slices.ContainsFunc(w.nodes, func(n *simNode) bool {
-			return !n.alive || n.refused || n.cut || n.blind || n.stale || n.late > 0 || n.loseAnswers > 0 || n.holdUntil > w.now || n.frozenUntil > w.now
+			return !n.alive || n.refused || n.cut || n.blind || n.stale || n.late > 0 || n.lost > 0 || n.loseAnswers > 0 || n.holdUntil > w.now || n.frozenUntil > w.now
 		}) ||
 		slices.ContainsFunc(w.workers, func(s *simWorker) bool {
 			return !s.rented.Gone && (s.dead || s.cut || s.deaf || s.mute || s.Sick || s.copies > 0 || s.keeps || s.holdUntil > w.now || s.hungUntil > w.now)
@@ -324,9 +333,30 @@
 	if !final {
 		w.told[ref] = state
 	}
+	if w.looks && (before == "" || !final && w.told[ref] != before && (state == wire.Done || state == wire.Cancelled)) {
+		w.lookClosely(ref)
+	}
 	return r
 }
 
+// lookClosely asks at all controllers within milliseconds, and submits again.
+func (w *world) lookClosely(ref string) {
+	for _, d := range []clock.Micros{0, clock.Millisecond, 5 * clock.Millisecond, 40 * clock.Millisecond} {
+		for _, n := range w.nodes {
+			w.after(d, func() {
+				if !n.alive || n.frozenUntil > w.now {
+					return
+				}
+				w.hear(ref, n.svc.Look(ref))
+				r := n.svc.Submit(w.bodies[ref])
+				if w.hear(ref, r); r.Code == 400 || r.Code == 422 {
+					w.breaks("forgotten: %s is answered %d", ref, r.Code)
+				}
+			})
+		}
+	}
+}
+
 func sortedKeys[V any](m map[string]V) []string {
 	out := make([]string, 0, len(m))
 	for k := range m {
@@ -378,7 +408,6 @@
 		if w.now-told > clock.FromSeconds(w.cfg.Facts.Workers.CancelS) {
 			w.breaks("ran_cancelled: %s starts on %s", t.Task, at.Name)
 		}
-		w.tardy[t.Job.Ref]++
 	}
 	if j := &t.Job; at.Spot && !j.Spot || len(j.Types) > 0 && !slices.Contains(j.Types, at.Type) || j.Zone != "" && j.Zone != at.Zone {
 		w.breaks("wrong_place: %s on %s", t.Task, at.Name)
@@ -665,6 +694,11 @@
 func (n *simNode) txn(t wire.Txn, answer func(store.Outcome, error)) {
 	var o store.Outcome
 	var problem string
+	if n.lost > 0 && n.reaches() && n.w.rng.Float64() < n.lost {
+		n.w.store.Txn(t)
+		n.w.after(1500*clock.Millisecond, n.still(func() { answer(o, store.ErrUnknown) }))
+		return
+	}
 	if n.delayed(t) {
 		n.w.after(1500*clock.Millisecond, n.still(func() { answer(o, store.ErrUnknown) }))
 		return
@@ -724,8 +758,8 @@
 	if problem != "" {
 		return o, errors.New(problem)
 	}
-	if n.loseAnswers > 0 {
-		n.loseAnswers--
+	if n.loseAnswers > 0 || n.lost > 0 && n.w.rng.Float64() < n.lost {
+		n.loseAnswers = max(0, n.loseAnswers-1)
 		return store.Outcome{}, store.ErrUnknown
 	}
 	return o, nil
@@ -927,6 +961,11 @@
 func (n *simNode) keep(txn func() (wire.Txn, error), settled func(store.Outcome) any) {
 	t, err := txn()
 	must(err)
+	for _, put := range t.Then {
+		if put.Put != "" && !slices.ContainsFunc(t.If, func(g wire.Guard) bool { return g.Key == put.Put }) {
+			n.w.breaks("unguarded: a late copy could put back %s", put.Put)
+		}
+	}
 	n.commit(t, false, func() bool { return true }, func(o store.Outcome, _ error) { n.holderStep(settled(o)) })
 }
 
@@ -1021,6 +1060,9 @@
 	case leader.LoadRecords:
 		n.loadRecords(x)
 	case leader.Commit:
+		if !slices.Contains(x.Txn.If, wire.Guard{Key: leader.Key, Version: x.Epoch}) {
+			w.breaks("unguarded: a leader's write is not bound to its epoch")
+		}
 		n.commit(x.Txn, false, during(x.Epoch), func(o store.Outcome, err error) {
 			n.leaderStep(leader.Committed{Epoch: x.Epoch, Tag: x.Tag, Outcome: o, Err: err})
 		})
