--- /dev/null
+++ b/internal/api/answers_test.go
@@ -0,0 +1,157 @@
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"testing"
+
+	"swiftledge/internal/clock"
+	"swiftledge/internal/config"
+	"swiftledge/internal/leader"
+	"swiftledge/internal/standin"
+	"swiftledge/internal/store"
+	"swiftledge/wire"
+)
+
+// between is a state service in which others write between two requests of ours.
+type between struct {
+	*standin.Store
+	hook  map[string]func() // before a key is read, once
+	lost  int               // of the next transactions, carried out without an answer
+	then  func()            // after such a one
+	after func()            // after the next read
+}
+
+func (b *between) Get(_ context.Context, _ int, key string) (wire.Item, error) {
+	if f := b.hook[key]; f != nil {
+		delete(b.hook, key)
+		f()
+	}
+	it, ok := b.Store.Get(key)
+	if f := b.after; f != nil {
+		b.after = nil
+		f()
+	}
+	if ok {
+		return it, nil
+	}
+	return wire.Item{}, store.ErrMissing
+}
+
+func (b *between) Once(_ context.Context, _ int, t wire.Txn) (store.Outcome, error) {
+	o, _ := b.Store.Txn(t)
+	if b.lost > 0 {
+		b.lost--
+		if b.then != nil {
+			b.then()
+		}
+		return store.Outcome{}, store.ErrUnknown
+	}
+	return o, nil
+}
+
+// ends moves a job to its final state, as its leader or another node does.
+func (b *between) ends(t *testing.T, ref, state string) {
+	t.Helper()
+	raw, err := json.Marshal(leader.EndRecord{State: state, Tasks: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	it, _ := b.Store.Get(leader.JobPrefix + ref)
+	if o, problem := b.Txn(wire.Txn{If: []wire.Guard{{Key: leader.JobPrefix + ref, Version: it.Version}},
+		Then: []wire.Write{{Put: leader.EndPrefix + ref, Value: raw}, {Delete: leader.JobPrefix + ref}}}); !o.OK {
+		t.Fatal("the job does not end: ", problem)
+	}
+}
+
+// Whatever other nodes write between two requests of this one, and whatever becomes of an
+// answer from the state service, no user gets an older answer than one that was told.
+func TestNoOlderAnswer(t *testing.T) {
+	const ref = "j-000001"
+	body := []byte(`{"ref":"` + ref + `","lane":"l","owner":"red","shape":"batch","rank":"high","lots":1,"cpus":1,"accelerators":0,"ramGb":1,
+"kit":"i","imageGb":1,"breeds":null,"paddock":null,"together":false,"scatter":false,"stray":true,"reckonS":5,"waypointS":0,"stashS":0,"dueS":null}`)
+	cases := []struct {
+		name string
+		play func(b *between, s *Service) Result
+		code int
+		want string
+	}{
+		{"done between the two reads of a question", func(b *between, s *Service) Result {
+			// Whichever is read first, the job moves right after.
+			moved := false
+			move := func() {
+				if moved {
+					return
+				}
+				moved = true
+				b.after = func() { b.ends(t, ref, wire.Done) }
+			}
+			b.hook[leader.JobPrefix+ref], b.hook[leader.EndPrefix+ref] = move, move
+			if r := s.Look(ref); r.Code == 404 {
+				return r
+			}
+			return s.Look(ref)
+		}, 200, wire.Done},
+		{"done while a cancellation is under way", func(b *between, s *Service) Result {
+			b.hook[leader.JobPrefix+ref] = func() { b.ends(t, ref, wire.Done) }
+			return s.Cancel(ref)
+		}, 200, wire.Done},
+		{"cancelled, and only the answer is lost", func(b *between, s *Service) Result {
+			b.lost = 1
+			return s.Cancel(ref)
+		}, 200, wire.Cancelled},
+		{"submitted again as it ends", func(b *between, s *Service) Result {
+			b.ends(t, ref, wire.Cancelled)
+			return s.Submit(body)
+		}, 200, wire.Cancelled},
+		{"submitted again malformed, once it is over", func(b *between, s *Service) Result {
+			b.ends(t, ref, wire.Done)
+			return s.Submit([]byte(`{"ref":"` + ref + `"}`))
+		}, 200, wire.Done},
+		{"submitted again by an unknown team", func(b *between, s *Service) Result {
+			var form map[string]any
+			if err := json.Unmarshal(body, &form); err != nil {
+				t.Fatal(err)
+			}
+			form["owner"] = "nobody"
+			raw, err := json.Marshal(form)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return s.Submit(raw)
+		}, 200, wire.Queued},
+	}
+	for _, c := range cases {
+		b := &between{Store: standin.NewStore(4, 8), hook: map[string]func(){}}
+		s := service(t, b)
+		if r := s.Submit(body); r.Code != 201 {
+			t.Fatalf("%s: submission gets %d %s", c.name, r.Code, r.Why)
+		}
+		if r := c.play(b, s); r.Code != c.code || r.Status.State != c.want {
+			t.Errorf("%s: %d %s %s, want %d %s", c.name, r.Code, r.Status.State, r.Why, c.code, c.want)
+		}
+		// Another node, which has heard of none of it, answers the same.
+		if r := service(t, b).Look(ref); r.Code != c.code || r.Status.State != c.want {
+			t.Errorf("%s: another node says %d %s", c.name, r.Code, r.Status.State)
+		}
+	}
+	// Accepted by a write whose answer was lost, and over before it is tried again.
+	b := &between{Store: standin.NewStore(4, 8), hook: map[string]func(){}, lost: 1}
+	b.then = func() { b.ends(t, ref, wire.Cancelled) }
+	if r := service(t, b).Submit(body); r.Code != 200 || r.Status.State != wire.Cancelled {
+		t.Errorf("accepted, cancelled by another node, tried again: %d %s", r.Code, r.Status.State)
+	}
+}
+
+func service(t *testing.T, st Store) *Service {
+	cfg := &config.Config{Tuning: config.DefaultTuning()}
+	cfg.Facts.Teams = []config.Team{{Name: "red", CPUs: 8, CPUsMax: 8}}
+	cfg.Facts.State.ValueKB = 4
+	now := func() clock.Micros { return 0 }
+	desk := NewDesk(cfg, now)
+	go desk.Run(t.Context())
+	desk.Post(learnt{[]wire.MachineType{{Name: "small", CPUs: 4, MemoryGB: 8, ZoneNames: []string{"a"}}}})
+	return New(cfg, st, func(context.Context, int) bool { return true }, desk, func() bool { return true }, nil, now, slog.New(slog.NewTextHandler(io.Discard, nil)))
+}
--- /dev/null
+++ b/internal/api/report_test.go
@@ -0,0 +1,141 @@
+package api
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/goccy/go-json"
+	"github.com/valyala/fasthttp"
+
+	"swiftledge/internal/block"
+	"swiftledge/internal/clock"
+	"swiftledge/internal/config"
+	"swiftledge/internal/netio"
+	"swiftledge/internal/peer"
+	"swiftledge/internal/placement"
+	"swiftledge/wire"
+)
+
+// reporting is a worker's connection to a controller that holds its machine's block.
+type reporting struct {
+	conn net.Conn
+	in   *bufio.Reader
+	seq  uint64
+	rep  wire.Report
+	res  fasthttp.Response
+}
+
+func newReporting(tb testing.TB, tasks int) *reporting {
+	tb.Helper()
+	cfg := &config.Config{Tuning: config.DefaultTuning()}
+	cfg.Facts.Quota.MaxSockets = 1500
+	h := block.New(block.Params{Node: "n0", GrantTime: 20 * clock.Second, LongestGrant: 20 * clock.Second, Lease: 20 * clock.Second,
+		ReportTime: 3 * clock.Second, ValueBytes: 4000, TxnOps: 8}, placement.Params{K: 0.001, Eta: 0.05, Epsilon: 0.01, Small: 0.5}, func() bool { return true })
+	h.Step(0, block.Linked{Epoch: 9})
+	h.Step(0, &peer.Down{Epoch: 9, Holders: []string{"n0"}, Grants: []peer.Grant{{Block: 0, Token: 50, Stamp: 7}}})
+	h.Step(0, &peer.Down{Epoch: 9, Renewed: 2, Tokens: map[int]uint64{0: 50}})
+	box := make(chan block.Report)
+	go func() {
+		for r := range box {
+			for _, fx := range h.Step(clock.Second, r) {
+				if a, ok := fx.(block.Answer); ok {
+					a.Tag.(chan block.Answer) <- a
+				}
+			}
+		}
+	}()
+	ctx, stop := context.WithCancel(context.Background())
+	tb.Cleanup(stop)
+	desk := NewDesk(cfg, func() clock.Micros { return 0 })
+	go desk.Run(ctx)
+	s := New(cfg, nil, nil, desk, func() bool { return true }, func(r *wire.Report) block.Answer {
+		ch := make(chan block.Answer, 1)
+		box <- block.Report{Tag: ch, R: r}
+		return <-ch
+	}, nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	l, err := netio.Listen("127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	go s.Serve(l)
+	c, err := net.Dial("tcp4", l.Addr().String())
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(func() { c.Close(); l.Close() })
+	w := &reporting{conn: c, in: bufio.NewReader(c), rep: wire.Report{Machine: "host-000001", Address: "10.1.0.1:9000", Type: "small", Zone: "a", Session: 1, Token: 50}}
+	for i := range tasks {
+		// No record names them, and they have ended: the answer is the same each time.
+		w.rep.Tasks = append(w.rep.Tasks, wire.TaskReport{Task: fmt.Sprintf("j-000412/%d", i), Attempt: uint64(i + 1), State: wire.Exited, Cause: wire.CauseDone})
+	}
+	return w
+}
+
+func (w *reporting) request(tb testing.TB) []byte {
+	w.seq++
+	w.rep.Seq = w.seq
+	body, err := json.Marshal(w.rep)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return []byte(fmt.Sprintf("POST /agent/beat HTTP/1.1\r\nHost: a\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+}
+
+func (w *reporting) send(tb testing.TB, req []byte) {
+	if _, err := w.conn.Write(req); err != nil {
+		tb.Fatal(err)
+	}
+	if err := w.res.Read(w.in); err != nil {
+		tb.Fatal(err)
+	}
+	if w.res.StatusCode() != 200 || !strings.Contains(string(w.res.Body()), "50") {
+		tb.Fatalf("%d %s", w.res.StatusCode(), w.res.Body())
+	}
+}
+
+// BenchmarkReport is what an unchanged report costs from the socket to the answer, the
+// worker's side included.
+func BenchmarkReport(b *testing.B) {
+	for _, tasks := range []int{0, 4, 40} {
+		b.Run(fmt.Sprint(tasks, " tasks"), func(b *testing.B) {
+			w := newReporting(b, tasks)
+			reqs := make([][]byte, b.N)
+			for i := range reqs {
+				reqs[i] = w.request(b)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for _, r := range reqs {
+				w.send(b, r)
+			}
+		})
+	}
+}
+
+// The unchanged report of an unchanged machine is what a controller is asked most: two hundred
+// times a second at the sizes that operators name, with a thirtieth of a core to answer them.
+// From the socket to the answer it takes few allocations, and each task that it lists two more.
+func TestUnchangedReportCostsLittle(t *testing.T) {
+	for _, c := range []struct {
+		tasks int
+		most  float64
+	}{{0, 16}, {4, 34}, {40, 170}} {
+		w := newReporting(t, c.tasks)
+		const n = 300
+		reqs := make([][]byte, 2*n+2)
+		for i := range reqs {
+			reqs[i] = w.request(t)
+		}
+		i := 0
+		got := testing.AllocsPerRun(n, func() { w.send(t, reqs[i]); i++ })
+		if got > c.most {
+			t.Errorf("%.0f allocations for a report of %d tasks, want %.0f at most", got, c.tasks, c.most)
+		}
+	}
+}
--- a/internal/block/holder_test.go
+++ b/internal/block/holder_test.go
@@ -92,6 +92,10 @@
 	if ev := eventsOf(fx); len(ev) != 0 {
 		t.Errorf("events %v from a report under an older token", ev)
 	}
+	// No event tells of it, as the task may be elsewhere, too.
+	if len(h.blocks[0].machines["m1"].recs) != 1 {
+		t.Error("taken for gone by a report under an older token")
+	}
 	if a := answerOf(t, fx); a.Status != 200 || a.Body.Token != 50 {
 		t.Errorf("answer %+v, want 200 with our token", a)
 	}
@@ -544,3 +548,38 @@
 		t.Error("not fit although it reports again")
 	}
 }
+
+// A report that was sent before the answer to a command, and comes after it, is the older one:
+// it shows nothing that the answer has not told better.
+func TestReportOlderThanAnAnswerProvesNothing(t *testing.T) {
+	h := holding(t)
+	h.Step(now, beat("m1", 1, 50, wire.TaskReport{Task: TaskName(task), Attempt: 1, State: wire.Running}))
+	ended := beat("m1", 3, 50, wire.TaskReport{Task: TaskName(task), Attempt: 1, State: wire.Exited, Cause: wire.CauseDone}).R
+	h.Step(now, Ordered{Orders: Orders{Block: 0, Machine: "m1", Body: wire.Orders{Token: 50, Session: 1}}, Status: 200, R: ended})
+	h.Step(now, beat("m1", 2, 50, wire.TaskReport{Task: TaskName(task), Attempt: 1, State: wire.Running}))
+	if r := h.blocks[0].machines["m1"].find(1); r == nil || r.state != exited {
+		t.Error("an ended attempt runs again by an older report")
+	}
+}
+
+// An order that got no answer may be held up and carried out later: until it is answered, a
+// report without its task does not prove it gone, not even one that was to be stopped.
+func TestAbsenceProvesNothingWhileAnOrderIsUnanswered(t *testing.T) {
+	h := holding(t)
+	h.Step(now, beat("m1", 1, 50))
+	b := h.blocks[0]
+	m := b.machines["m1"]
+	order := Orders{Block: 0, Machine: "m1", Body: wire.Orders{Token: 50, Session: 1}}
+	r := &rec{task: peer.Task{Job: "j-000007"}, attempt: 50<<peer.AttemptBits | 9, m: m, group: &peer.RecordGroup{Job: "j-000007"}, state: ordered, session: 1, direct: true, inflight: 1, stop: 2}
+	b.add(r)
+	order.Body.Commands = []wire.Command{r.run()}
+	h.Step(now, Ordered{Orders: order})
+	if h.Step(now+clock.Second, beat("m1", 2, 50)); m.find(r.attempt) == nil {
+		t.Error("taken for gone while its order may be carried out yet")
+	}
+	// Its answer, late, or another session end the doubt.
+	h.Step(now+2*clock.Second, Ordered{Orders: order, Status: 409, R: beat("m1", 3, 50).R})
+	if h.Step(now+3*clock.Second, beat("m1", 4, 50)); m.find(r.attempt) != nil {
+		t.Error("kept although its order was refused and no report lists it")
+	}
+}
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -463,3 +463,26 @@
 		t.Error("not drained after two failures while another replica runs")
 	}
 }
+
+// What a new leader finds running of a job that is over is to be stopped by the very message
+// that grants its block: a report answered between the two would renew its lease.
+func TestStopsComeWithTheGrant(t *testing.T) {
+	l := leading(t)
+	over := peer.Task{Job: "j-000009", Index: 4}
+	fx := l.Step(began, Records{Epoch: 5, Block: 0, Token: l.blocks[0].token, Pages: map[string]peer.RecordPage{"run/000/1-1": {Machines: names[:1],
+		Groups: []peer.RecordGroup{{Job: over.Job, Team: "red", CPUs: 3, Starts: []int{over.Index, 1, 0}}}}}})
+	found := false
+	for _, e := range fx {
+		if x, ok := e.(Tell); ok && len(x.Down.Grants) > 0 {
+			for _, o := range x.Down.Orders {
+				found = found || o.Block == 0 && o.Token == l.blocks[0].token && len(o.Stop) == 1 && o.Stop[0].Task == over
+			}
+		}
+	}
+	if !found {
+		t.Error("the grant does not say what is to be stopped")
+	}
+	if l.use("red").cpus != 3 {
+		t.Errorf("%g processors count, want the 3 of what may still run", l.use("red").cpus)
+	}
+}
--- a/internal/scenario/size_test.go
+++ b/internal/scenario/size_test.go
@@ -44,6 +44,17 @@
 				{Name: "small", CPUs: 4, MemoryGB: 8, CacheGB: 80, FetchGBPS: 0.2, Price: 0.26, SpotPrice: 0.1, BootS: 50, ZoneNames: zones},
 				{Name: "middle", CPUs: 8, MemoryGB: 32, CacheGB: 60, FetchGBPS: 0.5, Price: 0.55, SpotPrice: 0.19, BootS: 50, ZoneNames: zones}},
 			jobs: 40, tasks: 600, taskCPUs: 1, taskMem: 1.1, runS: 40},
+		// The controllers with least processor time and memory that operators run.
+		{name: "small controllers, one type", machines: 750, teams: 16, cpus: 120, cpusMax: 1000, report: 3, lease: 22, end: 52, rps: 100, writes: 15, valueKB: 4, txnOps: 8,
+			cloudRPS: 5, lag: 8, cpu: 0.029, mem: 81, sockets: 1500, zones: zones[:1],
+			types: []wire.MachineType{{Name: "small", CPUs: 4, MemoryGB: 8, CacheGB: 40, FetchGBPS: 0.6, Price: 0.26, SpotPrice: 0.09, BootS: 25, ZoneNames: zones[:1]}},
+			jobs:  30, tasks: 150, taskCPUs: 2, taskMem: 3.2, runS: 15},
+		{name: "small controllers, two types, four zones", machines: 900, teams: 10, cpus: 500, cpusMax: 2200, report: 3, lease: 17, end: 37, rps: 120, writes: 30, valueKB: 16, txnOps: 12,
+			cloudRPS: 2, lag: 4, cpu: 0.029, mem: 81, sockets: 1500, zones: zones,
+			types: []wire.MachineType{
+				{Name: "small", CPUs: 4, MemoryGB: 8, CacheGB: 80, FetchGBPS: 0.2, Price: 0.26, SpotPrice: 0.1, BootS: 50, ZoneNames: zones},
+				{Name: "middle", CPUs: 8, MemoryGB: 32, CacheGB: 60, FetchGBPS: 0.5, Price: 0.55, SpotPrice: 0.19, BootS: 50, ZoneNames: zones}},
+			jobs: 40, tasks: 300, taskCPUs: 1, taskMem: 1.1, runS: 40},
 	}
 }
 
