--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -430,10 +430,11 @@
 	_, _ = c.do(c.http, "DELETE", "/grants/"+strconv.FormatUint(lease, 10), nil, nil, timeout)
 }
 
-// Watch waits for changes under prefix after revision since.
+// Watch waits for changes under prefix after revision since. Users' questions must not hold
+// it up: what is done on a view of the jobs waits for a fresh one.
 func (c *Client) Watch(ctx context.Context, prefix string, since uint64, block clock.Micros) (wire.WatchAnswer, error) {
 	var a wire.WatchAnswer
-	if err := c.admit(ctx, Normal, 0); err != nil {
+	if err := c.admit(ctx, Urgent, 0); err != nil {
 		return a, err
 	}
 	uri := fmt.Sprintf("/watch?prefix=%s&since=%d&blockMs=%d", url.QueryEscape(prefix), since, int64(block/clock.Millisecond))
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -35,3 +35,35 @@
 		t.Errorf("outcome %+v after %d tries, want one that is unsure, not a lease that has ended", o, tries)
 	}
 }
+
+// Questions wait in the budget's queue, a watch goes before them: on an old view of the jobs
+// the leader renews no grant.
+func TestWatchIsNotHeldUpByQuestions(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	came := make(chan string, 64)
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		came <- r.URL.Path
+		w.Write([]byte(`{"ledger":1}`))
+	})}
+	go srv.Serve(l)
+	defer srv.Close()
+	c := New(l.Addr().String(), Budget{RPS: 4, Puts: 4}, func(bool) {})
+	const questions = 12
+	for range questions {
+		go c.Get(t.Context(), Normal, "job/j-000001")
+	}
+	// What the budget lets through at once has gone; the others wait.
+	before := 0
+	for ; before < 2; before++ {
+		<-came
+	}
+	go c.Watch(t.Context(), "job/", 1, 0)
+	for ; <-came != "/watch"; before++ {
+	}
+	if before > questions*3/4 {
+		t.Errorf("%d of %d questions went first", before, questions)
+	}
+}
