--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -632,10 +632,10 @@
 
 func (n *Node) watchJobs(ctx context.Context, epoch, rev uint64) {
 	// Two answers, one behind the other, have to come within the time that a view may be old.
-	block := n.cfg.ViewTime() / 3
+	wait := n.cfg.ViewTime() / 3
 	for i := 0; ctx.Err() == nil; {
 		asked := n.clock.Now()
-		a, err := n.store.Watch(ctx, leader.JobPrefix, rev, block)
+		a, err := n.store.Watch(ctx, leader.JobPrefix, rev, wait)
 		switch {
 		case err == nil:
 			i = 0
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -50,14 +50,14 @@
 	})}
 	go srv.Serve(l)
 	defer srv.Close()
-	c := New(l.Addr().String(), Budget{RPS: 4, Puts: 4}, func(bool) {})
-	const questions = 12
+	c := New(l.Addr().String(), Budget{RPS: 2, Puts: 2}, func(bool) {})
+	const questions = 20
 	for range questions {
 		go c.Get(t.Context(), Normal, "job/j-000001")
 	}
 	// What the budget lets through at once has gone; the others wait.
 	before := 0
-	for ; before < 2; before++ {
+	for ; before < 1; before++ {
 		<-came
 	}
 	go c.Watch(t.Context(), "job/", 1, 0)
