--- a/internal/api/report_test.go
+++ b/internal/api/report_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"log/slog"
 	"net"
+	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/goccy/go-json"
@@ -22,6 +24,28 @@
 	"swiftledge/wire"
 )
 
+// counting counts the reads and writes of the connections that it accepts.
+type counting struct {
+	net.Listener
+	reads, writes *atomic.Int64
+}
+
+func (l counting) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return counted{c, l}, nil
+}
+
+type counted struct {
+	net.Conn
+	l counting
+}
+
+func (c counted) Read(b []byte) (int, error)  { c.l.reads.Add(1); return c.Conn.Read(b) }
+func (c counted) Write(b []byte) (int, error) { c.l.writes.Add(1); return c.Conn.Write(b) }
+
 // reporting is a worker's connection to a controller that holds its machine's block.
 type reporting struct {
 	conn net.Conn
@@ -29,6 +53,9 @@
 	seq  uint64
 	rep  wire.Report
 	res  fasthttp.Response
+	// Of the controller, on all its connections.
+	reads, writes *atomic.Int64
+	addr          string
 }
 
 func newReporting(tb testing.TB, tasks int) *reporting {
@@ -63,13 +90,14 @@
 	if err != nil {
 		tb.Fatal(err)
 	}
-	go s.Serve(l)
+	n := counting{l, &atomic.Int64{}, &atomic.Int64{}}
+	go s.Serve(n)
 	c, err := net.Dial("tcp4", l.Addr().String())
 	if err != nil {
 		tb.Fatal(err)
 	}
 	tb.Cleanup(func() { c.Close(); l.Close() })
-	w := &reporting{conn: c, in: bufio.NewReader(c), rep: wire.Report{Machine: "host-000001", Address: "10.1.0.1:9000", Type: "small", Zone: "a", Session: 1, Token: 50}}
+	w := &reporting{conn: c, in: bufio.NewReader(c), reads: n.reads, writes: n.writes, addr: l.Addr().String(), rep: wire.Report{Machine: "host-000001", Address: "10.1.0.1:9000", Type: "small", Zone: "a", Session: 1, Token: 50}}
 	for i := range tasks {
 		// No record names them, and they have ended: the answer is the same each time.
 		w.rep.Tasks = append(w.rep.Tasks, wire.TaskReport{Task: fmt.Sprintf("j-000412/%d", i), Attempt: uint64(i + 1), State: wire.Exited, Cause: wire.CauseDone})
@@ -139,3 +167,49 @@
 		}
 	}
 }
+
+// Each read and write is a system call, which is most of what a report costs: one write
+// answers it, and one read brings the next.
+func TestReportTakesOneReadAndOneWrite(t *testing.T) {
+	w := newReporting(t, 4)
+	w.send(t, w.request(t))
+	reads, writes := w.reads.Load(), w.writes.Load()
+	const n = 100
+	for range n {
+		w.send(t, w.request(t))
+	}
+	if r, wr := w.reads.Load()-reads, w.writes.Load()-writes; r > n+1 || wr > n {
+		t.Errorf("%d reads and %d writes for %d reports", r, wr, n)
+	}
+}
+
+// A worker's connection, kept open between its reports, holds little: a controller has up to
+// as many as it is allowed sockets.
+func TestIdleConnectionHoldsLittle(t *testing.T) {
+	w := newReporting(t, 4)
+	w.send(t, w.request(t))
+	held := func() uint64 {
+		runtime.GC()
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapInuse + m.StackInuse
+	}
+	before := held()
+	const n = 400
+	for range n {
+		c, err := net.Dial("tcp4", w.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		one := &reporting{conn: c, in: bufio.NewReaderSize(c, 256), seq: w.seq, rep: w.rep}
+		one.send(t, one.request(t))
+		w.seq = one.seq
+	}
+	if per := (held() - before) / n; per > 24<<10 {
+		t.Errorf("%d bytes for each connection, its worker's side included", per)
+	} else {
+		t.Logf("%d bytes for each connection, its worker's side included", per)
+	}
+}
--- a/internal/scenario/size_test.go
+++ b/internal/scenario/size_test.go
@@ -249,3 +249,35 @@
 	t.Logf("%d replicas: %d pages of %d kB in all, %d puts in a quiet minute, all workers answered %.1f s after all controllers were back, %.0f MB for the whole world",
 		services*replicas, len(pages), bytes>>10, quiet, took.Seconds(), heapMB())
 }
+
+// At rest, with as many machines as operators may come to have, the controllers say little: a
+// report of nothing new wakes nobody but the holder, and the state service is asked for the
+// leader's lease alone (a watch each third of a TTL comes on top on real machines).
+func TestLittleIsSaidAtRest(t *testing.T) {
+	z := fleetSizes()[3]
+	z.machines = 300
+	w := z.world()
+	defer w.stop()
+	w.run(3 * clock.Second)
+	// Long tasks keep the machines up.
+	z.runS = 600
+	for i := range 12 {
+		w.submitTo(t, &z, i, 100)
+	}
+	w.run(120 * clock.Second)
+	if n := len(w.workers); n < 100 {
+		t.Fatalf("%d machines are up", n)
+	}
+	asked, said := w.asked, w.said
+	const spell = 60
+	w.run(spell * clock.Second)
+	asked, said = w.asked-asked, w.said-said
+	// Each holder renews its grants every second and is answered.
+	if most := spell * 2 * (len(w.nodes) - 1); said > most*5/4 {
+		t.Errorf("%d messages between controllers in %d s, want %d and little more", said, spell, most)
+	}
+	if most := spell * 2; asked > most {
+		t.Errorf("%d requests to the state service in %d s, want %d at most", asked, spell, most)
+	}
+	t.Logf("%d machines: %d messages and %d requests to the state service in %d s", len(w.workers), said, asked, spell)
+}
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -84,6 +84,8 @@
 	fits      map[string]clock.Micros // by job: since when it waits beside room for it
 	calm      clock.Micros            // when the last trouble was over
 	bodies    map[string][]byte       // submissions
+	asked     int                     // requests of controllers to the state service
+	said      int                     // messages between different controllers
 	looks     bool                    // users ask everywhere, and submit again, as soon as something was told
 }
 
@@ -650,6 +652,7 @@
 // ask carries a request to the state service and its answer back.
 func (n *simNode) ask(f func(), answer func(err error)) {
 	w := n.w
+	w.asked++
 	w.after(w.lat(), func() {
 		until := n.holdUntil
 		if w.apart(n.cfg.Zone, "") {
@@ -916,6 +919,9 @@
 		w.after(4*clock.Second, l.end)
 		return
 	}
+	if to != from {
+		w.said++
+	}
 	// As over TCP, nothing overtakes.
 	at := max(w.now+w.lat(), l.last[to])
 	l.last[to] = at
