--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -82,7 +82,6 @@
 	cloudDown bool
 	told      map[string]string       // by job: the latest state that any node told
 	fits      map[string]clock.Micros // by job: since when it waits beside room for it
-	calm      clock.Micros            // when the last trouble was over
 	bodies    map[string][]byte       // submissions
 	asked     int                     // requests of controllers to the state service
 	said      int                     // messages between different controllers
@@ -261,7 +260,6 @@
 		return
 	}
 	if w.troubled() {
-		w.calm = w.now
 		clear(w.fits)
 		return
 	}
