--- a/internal/block/holder_test.go
+++ b/internal/block/holder_test.go
@@ -583,3 +583,19 @@
 		t.Error("kept although its order was refused and no report lists it")
 	}
 }
+
+// Once a worker's lease has run out, as when all controllers were away for longer, the next
+// session's first report proves that nothing of the former one is left, whatever it had shown.
+func TestNextSessionProvesTheFormersTasksGone(t *testing.T) {
+	h := holding(t)
+	h.Step(now, beat("m1", 1, 50, wire.TaskReport{Task: TaskName(task), Attempt: 1, State: wire.Running}))
+	m := h.blocks[0].machines["m1"]
+	if h.Step(now+clock.Second, beat("m1", 2, 50)); m.find(1) == nil {
+		t.Error("taken for gone within its session")
+	}
+	next := beat("m1", 3, 50)
+	next.R.Session = 2
+	if h.Step(now+2*clock.Second, next); m.find(1) != nil {
+		t.Error("kept although its session is over")
+	}
+}
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -509,3 +509,33 @@
 		}
 	}
 }
+
+// A rental that a former leader recorded, and whose answer was lost with it, is asked for again
+// under its name, which gives the same machines: they may be up already and have shown themselves.
+func TestRentalOfAFormerLeaderIsAskedAgain(t *testing.T) {
+	l := leading(t)
+	rental := wire.Rental{Request: "r-3-1", Type: "small", Zone: "a", Spot: true, Count: 2}
+	l.Step(began, Deposed{})
+	l.Step(began, Elected{Epoch: 7})
+	l.Step(began, Authority{Until: began + 100*clock.Second})
+	fx := l.Step(began, Loaded{Epoch: 7, Asked: began, Items: []wire.Item{item(t, LayoutKey, 1, LayoutRecord{Blocks: 2}),
+		item(t, FleetPrefix+rental.Request, 3, FleetRecord{Rental: rental})}})
+	asked := 0
+	for _, e := range fx {
+		if r, ok := e.(Rent); ok && r.Rental == rental {
+			asked++
+		}
+	}
+	if asked != 1 {
+		t.Errorf("asked %d times for what a former leader has rented", asked)
+	}
+	// Its machines are in the roster once they are written there, and not before.
+	l.Step(began, Rented{Epoch: 7, Request: rental.Request, Machines: names[:2]})
+	if l.machines[names[0]] != nil {
+		t.Error("used before the roster has it")
+	}
+	l.Step(began, Committed{Epoch: 7, Tag: fleetTag{FleetPrefix + rental.Request}, Outcome: store.Outcome{OK: true, Revision: 9}})
+	if l.machines[names[0]] == nil || l.machines[names[1]] == nil {
+		t.Error("not in the roster once that is written")
+	}
+}
