--- a/internal/block/messages.go
+++ b/internal/block/messages.go
@@ -22,8 +22,11 @@
 	return int(h.Sum32() % uint32(n))
 }
 
+// KeyPrefix is where the store keeps who holds each block.
+const KeyPrefix = "block/"
+
 // Key is the store key that says who holds a block.
-func Key(block int) string { return "block/" + pad(block) }
+func Key(block int) string { return KeyPrefix + pad(block) }
 
 // RecordPrefix is where a block's start records are kept.
 func RecordPrefix(block int) string { return "run/" + pad(block) + "/" }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/goccy/go-json"
@@ -604,24 +605,11 @@
 // load reads what an epoch starts from and then watches the jobs.
 func (n *Node) load(ctx context.Context, epoch uint64) {
 	for i := 0; ; i++ {
-		var all []wire.Item
-		var rev uint64
-		var err error
 		asked := n.clock.Now()
-		for k, prefix := range []string{leader.JobPrefix, leader.LayoutKey, leader.CatalogKey, "block/", leader.ProgPrefix, leader.FleetPrefix} {
-			var items []wire.Item
-			var r uint64
-			if items, r, err = n.store.List(ctx, store.Urgent, prefix); err != nil {
-				break
-			}
-			if k == 0 {
-				rev = r
-			}
-			all = append(all, items...)
-		}
+		items, revision, err := n.readState(ctx)
 		if err == nil {
-			n.leader <- leader.Loaded{Epoch: epoch, Items: all, Revision: rev, Wall: clock.Wall(), Asked: asked}
-			n.watchJobs(ctx, epoch, rev)
+			n.leader <- leader.Loaded{Epoch: epoch, Items: items, Revision: revision, Wall: clock.Wall(), Asked: asked}
+			n.watchJobs(ctx, epoch, revision)
 			return
 		}
 		if !store.Pause(ctx, i) {
@@ -630,6 +618,37 @@
 	}
 }
 
+// readState lists all that a new leader reads, and gives the revision from which the jobs are
+// to be watched. The lists are asked for at once: one after the other, a controller that is
+// behind with its work would wait for each answer in turn, for longer than its lease lasts.
+// Their order does not matter, as only users change jobs while this epoch lasts: all other
+// keys are written under a guard on the leader key.
+func (n *Node) readState(ctx context.Context) ([]wire.Item, uint64, error) {
+	prefixes := []string{leader.JobPrefix, leader.LayoutKey, leader.CatalogKey, block.KeyPrefix, leader.ProgPrefix, leader.FleetPrefix}
+	type listing struct {
+		items    []wire.Item
+		revision uint64
+		err      error
+	}
+	listings := make([]listing, len(prefixes))
+	var wait sync.WaitGroup
+	for i, prefix := range prefixes {
+		wait.Go(func() {
+			l := &listings[i]
+			l.items, l.revision, l.err = n.store.List(ctx, store.Urgent, prefix)
+		})
+	}
+	wait.Wait()
+	var all []wire.Item
+	for _, l := range listings {
+		if l.err != nil {
+			return nil, 0, l.err
+		}
+		all = append(all, l.items...)
+	}
+	return all, listings[0].revision, nil
+}
+
 func (n *Node) watchJobs(ctx context.Context, epoch, rev uint64) {
 	// Two answers, one behind the other, have to come within the time that a view may be old.
 	wait := n.cfg.ViewTime() / 3
--- /dev/null
+++ b/internal/node/state_test.go
@@ -0,0 +1,47 @@
+package node
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+
+	"swiftledge/internal/leader"
+	"swiftledge/internal/store"
+)
+
+// A new leader asks for all lists at once: a controller that is behind with its work got each
+// answer a second late, and six in a row took it longer than its lease lasts. Here no list is
+// answered before all have been asked for.
+func TestNewLeaderReadsAllListsAtOnce(t *testing.T) {
+	const lists = 6
+	var asked sync.WaitGroup
+	asked.Add(lists)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked.Done()
+		asked.Wait()
+		prefix := r.URL.Query().Get("prefix")
+		revision := "9"
+		if prefix == leader.JobPrefix {
+			revision = "7"
+		}
+		w.Write([]byte(`{"rows":[{"path":"` + prefix + `x","v":{},"stamp":3}],"more":false,"ledger":` + revision + `}`))
+	})}
+	go srv.Serve(l)
+	defer srv.Close()
+	n := &Node{store: store.New(l.Addr().String(), store.Budget{RPS: 100, Puts: 100}, func(bool) {})}
+	items, revision, err := n.readState(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(items) != lists || items[0].Key != leader.JobPrefix+"x" {
+		t.Errorf("read %v", items)
+	}
+	if revision != 7 {
+		t.Errorf("jobs are watched from revision %d, want that of their own list", revision)
+	}
+}
