Renewals of the leader's lease overlap, go first in the budget and wait longer for an answer

Cause: a controller left alone got a renewal's answer after 1.1 to 2.5 s and sent the next only then, so it lost its lease seconds after it had won it. Authority still runs from when the renewal that succeeded was sent. Tests: TestRenewalsOverlap, TestRenewalIsNotHeldUpBySubmissions fail without.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -262,7 +262,6 @@
 }
 
 func (e *Elector) onRenewed(now clock.Micros, m Renewed) {
-	e.asking = false
 	if m.Lease != e.lease {
 		return
 	}
@@ -287,8 +286,9 @@
 // advance starts what is due: a lease is kept ready so that a claim needs one call.
 func (e *Elector) advance(now clock.Micros) {
 	if e.epoch > 0 {
-		if !e.asking && now >= e.renewAt {
-			e.asking = true
+		// Renewals may overlap: one whose answer is late must not hold up the next, or a
+		// controller that is behind with its work would lose a lease that it could keep.
+		if now >= e.renewAt {
 			e.renewAt = now + e.ttl/4
 			e.emit(Renew{e.lease})
 		}
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -96,3 +96,34 @@
 		t.Error("leads on without its key")
 	}
 }
+
+// A controller that is behind with its work gets the answers to its renewals late. The next one
+// is sent all the same: two that overlap keep an authority that one after the other would lose.
+func TestRenewalsOverlap(t *testing.T) {
+	const ttl = 3 * clock.Second
+	e := New(Record{Node: "n0", Run: 1}, ttl)
+	e.Step(0, Seen{Revision: 5})
+	e.Step(1000, Leased{Lease: 9, Sent: 500})
+	// Each answer takes half of the TTL.
+	const delay = ttl / 2
+	var sent []clock.Micros
+	send := func(now clock.Micros, fx []any) {
+		for _, effect := range fx {
+			if _, ok := effect.(Renew); ok {
+				sent = append(sent, now)
+			}
+		}
+	}
+	send(2000, e.Step(2000, Claimed{Lease: 9, Outcome: store.Outcome{OK: true, Revision: 6}}))
+	for now := clock.Second / 4; now < 10*ttl; now += clock.Second / 4 {
+		for len(sent) > 0 && now >= sent[0]+delay {
+			first := sent[0]
+			sent = sent[1:]
+			send(now, e.Step(now, Renewed{Lease: 9, Sent: first}))
+		}
+		send(now, e.Step(now, Tick{}))
+		if e.Epoch() != 6 {
+			t.Fatalf("the epoch is lost after %g s", now.Seconds())
+		}
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -24,11 +24,11 @@
 
 // Priorities of requests for the shared budget.
 const (
-	Urgent  = iota // election, accepts, aborts
+	Renewal = iota // of the leader's lease
+	Urgent         // election, accepts, aborts
 	Starts         // start records, final states
 	Normal         // reads for status, roster
 	Lazy           // progress, clean-up
-	classes = 4
 )
 
 // ErrRefused says that the request was certainly not carried out.
@@ -404,12 +404,13 @@
 	return a.Lease, nil
 }
 
-// Touch renews a store lease; ErrMissing when it has ended.
+// Touch renews a store lease; ErrMissing when it has ended. It waits for an answer for as long as
+// one may still be of use: one that is late is better than none.
 func (c *Client) Touch(ctx context.Context, lease uint64) error {
-	if err := c.admit(ctx, Urgent, 0); err != nil {
+	if err := c.admit(ctx, Renewal, 0); err != nil {
 		return err
 	}
-	code, err := c.do(c.http, "POST", "/grants/"+strconv.FormatUint(lease, 10)+"/touch", struct{}{}, nil, timeout)
+	code, err := c.do(c.http, "POST", "/grants/"+strconv.FormatUint(lease, 10)+"/touch", struct{}{}, nil, 2*timeout)
 	switch {
 	case err != nil:
 		return fmt.Errorf("renew lease: %w", err)
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -36,9 +36,10 @@
 	}
 }
 
-// Questions wait in the budget's queue, a watch goes before them: on an old view of the jobs
-// the leader renews no grant.
-func TestWatchIsNotHeldUpByQuestions(t *testing.T) {
+// sentBefore starts many requests that wait in the budget's queue, then one more, and says how
+// many of the former were sent before the latter, which arrives at path.
+func sentBefore(t *testing.T, others int, other, last func(*Client), path string) int {
+	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -49,21 +50,40 @@
 		w.Write([]byte(`{"ledger":1}`))
 	})}
 	go srv.Serve(l)
-	defer srv.Close()
+	t.Cleanup(func() { srv.Close() })
 	c := New(l.Addr().String(), Budget{RPS: 2, Puts: 2}, func(bool) {})
-	const questions = 20
-	for range questions {
-		go c.Get(t.Context(), Normal, "job/j-000001")
+	for range others {
+		go other(c)
 	}
 	// What the budget lets through at once has gone; the others wait.
 	before := 0
 	for ; before < 1; before++ {
 		<-came
 	}
-	go c.Watch(t.Context(), "job/", 1, 0)
-	for ; <-came != "/watch"; before++ {
+	go last(c)
+	for ; <-came != path; before++ {
 	}
-	if before > questions*3/4 {
+	return before
+}
+
+// Questions wait in the budget's queue, a watch goes before them: on an old view of the jobs
+// the leader renews no grant.
+func TestWatchIsNotHeldUpByQuestions(t *testing.T) {
+	const questions = 20
+	ask := func(c *Client) { c.Get(t.Context(), Normal, "job/j-000001") }
+	watch := func(c *Client) { c.Watch(t.Context(), "job/", 1, 0) }
+	if before := sentBefore(t, questions, ask, watch, "/watch"); before > questions*3/4 {
 		t.Errorf("%d of %d questions went first", before, questions)
 	}
 }
+
+// The renewal of the leader's lease goes before all else, users' submissions among them: without
+// it nobody is served.
+func TestRenewalIsNotHeldUpBySubmissions(t *testing.T) {
+	const submissions = 20
+	submit := func(c *Client) { c.Get(t.Context(), Urgent, "job/j-000001") }
+	renew := func(c *Client) { c.Touch(t.Context(), 7) }
+	if before := sentBefore(t, submissions, submit, renew, "/grants/7/touch"); before > submissions*3/4 {
+		t.Errorf("%d of %d submissions went first", before, submissions)
+	}
+}
