Reports are admitted in small batches; a refused worker's connection is closed with its answer

Cause: with two of three controllers away, some 150 workers a second come to be refused and as many report; users, probes and answers of the state service waited until all were answered.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -34,17 +34,21 @@
 	wall    func() clock.Micros // time of day
 	log     *slog.Logger
 	form    formChecker
+	reports *admission
 	app     *fiber.App
 }
 
 // New makes the service; report answers a worker.
 func New(cfg *config.Config, s Store, pause func(context.Context, int) bool, d *Desk, storeOK func() bool, report func(*wire.Report) block.Answer, wall func() clock.Micros, log *slog.Logger) *Service {
-	return &Service{cfg: cfg, store: s, pause: pause, desk: d, storeOK: storeOK, report: report, wall: wall, log: log, form: newFormChecker()}
+	return &Service{cfg: cfg, store: s, pause: pause, desk: d, storeOK: storeOK, report: report, wall: wall, log: log, form: newFormChecker(), reports: newAdmission()}
 }
 
 // Serve answers on l until it fails.
 func (s *Service) Serve(l net.Listener) error {
 	s.app = s.routes()
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go s.reports.run(ctx)
 	if err := s.app.Listener(l, fiber.ListenConfig{DisableStartupMessage: true}); err != nil {
 		return fmt.Errorf("serve: %w", err)
 	}
@@ -132,12 +136,14 @@
 }
 
 func (s *Service) beat(c fiber.Ctx) error {
+	s.reports.wait()
 	r := &wire.Report{}
 	if err := json.Unmarshal(c.Body(), r); err != nil {
 		return fiber.NewError(400, "report: "+err.Error())
 	}
 	a := s.report(r)
-	if s.crowded() {
+	// Who is refused goes to another node: closing first spares us the wake-up for its end.
+	if a.Status != 200 || s.crowded() {
 		c.RequestCtx().SetConnectionClose()
 	}
 	switch a.Status {
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -76,3 +76,38 @@
 		t.Error("a user gets no answer")
 	}
 }
+
+// A worker that is refused goes to another controller and closes its connection. Closing it with
+// the answer spares a controller that is left alone hundreds of wake-ups a second.
+func TestRefusedWorkersConnectionIsClosed(t *testing.T) {
+	cfg := &config.Config{}
+	cfg.Facts.Quota.MaxSockets = 100
+	desk := NewDesk(cfg, func() clock.Micros { return 0 })
+	for _, status := range []int{200, 421, 503} {
+		s := New(cfg, nil, nil, desk, func() bool { return true }, func(*wire.Report) block.Answer {
+			return block.Answer{Status: status}
+		}, nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		go s.Serve(l)
+		c, err := net.Dial("tcp4", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		body := `{"rig":"host-000001","stint":1,"tally":1}`
+		if _, err := io.WriteString(c, "POST /agent/beat HTTP/1.1\r\nHost: a\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body); err != nil {
+			t.Fatal(err)
+		}
+		var res fasthttp.Response
+		if err := res.Read(bufio.NewReader(c)); err != nil {
+			t.Fatal(err)
+		}
+		if res.StatusCode() != status || res.ConnectionClose() != (status != 200) {
+			t.Errorf("status %d, want %d; connection closed: %v", res.StatusCode(), status, res.ConnectionClose())
+		}
+	}
+}
