An overloaded controller lets reports' answers carry starts and fences instead of direct commands

A late tick tells the overload. Tests: TestStartsWaitForReportsUnderOverload, TestGrantUnderOverloadSendsNoCommands fail without.

--- a/internal/block/cycle.go
+++ b/internal/block/cycle.go
@@ -271,6 +271,9 @@
 			continue
 		}
 		r.state = ordered
+		if h.answerCarriesRuns(now, mc) {
+			continue
+		}
 		if mc.reachable() {
 			r.inflight++
 			r.direct = true
--- a/internal/block/dialogue.go
+++ b/internal/block/dialogue.go
@@ -39,6 +39,21 @@
 // it is told directly, and told again.
 const fenceAfter = 4 * clock.Second
 
+// fenceAfter is twice as long under overload: then most reports only wait to be answered.
+func (h *Holder) fenceAfter(now clock.Micros) clock.Micros {
+	if h.overloaded(now) {
+		return 2 * fenceAfter
+	}
+	return fenceAfter
+}
+
+// answerCarriesRuns says whether run orders for a machine wait for its next report. A direct
+// command costs the controller more than to answer a report, so under overload the reports of
+// machines that are in touch carry the orders, a report time later at most.
+func (h *Holder) answerCarriesRuns(now clock.Micros, m *machine) bool {
+	return h.overloaded(now) && m.answered > 0 && now-m.answered < h.p.ReportTime
+}
+
 // fenceAtOnce is how many of a block's machines are told directly when it is granted.
 const fenceAtOnce = 24
 
--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -109,6 +109,8 @@
 	renewed clock.Micros
 	flushed clock.Micros
 	heard   clock.Micros // when any worker was last heard
+	ticked  clock.Micros // when the last Tick was handled
+	late    clock.Micros // when a Tick was last handled late
 	storeOK func() bool
 	fx      []any
 }
@@ -270,7 +272,7 @@
 	// command to each of hundreds would cost more than all else in a takeover. Those
 	// that do not come are fenced by tick.
 	for i, r := range g.Machines {
-		if m := b.machines[r.Name]; i < fenceAtOnce {
+		if m := b.machines[r.Name]; i < fenceAtOnce && !h.overloaded(now) {
 			h.fence(now, b, m)
 		} else {
 			m.fenced = now
@@ -467,7 +469,23 @@
 	delete(h.blocks, b.id)
 }
 
+// lateTick is the time between two Ticks from which this controller counts as overloaded: they
+// are sent several times as often, so messages wait for longer than that to be handled.
+const lateTick = 500 * clock.Millisecond
+
+// overloadMemory is how long after the last late Tick the controller still counts as overloaded.
+const overloadMemory = 2 * clock.Second
+
+// overloaded says whether this controller has lately fallen behind with its messages.
+func (h *Holder) overloaded(now clock.Micros) bool {
+	return h.late > 0 && now-h.late < overloadMemory
+}
+
 func (h *Holder) tick(now clock.Micros) {
+	if h.ticked > 0 && now-h.ticked > lateTick {
+		h.late = now
+	}
+	h.ticked = now
 	if h.linked && now-h.renewed >= clock.Second {
 		h.sendRenew(now)
 	}
@@ -516,7 +534,7 @@
 				}
 			}
 		}
-		if (!m.shown && !m.lost && m.fenced > 0 || m.deaf > 0) && now-m.fenced > fenceAfter {
+		if (!m.shown && !m.lost && m.fenced > 0 || m.deaf > 0) && now-m.fenced > h.fenceAfter(now) {
 			h.fence(now, b, m)
 		}
 		if fit := h.fit(now, b, m); fit != m.wasFit {
--- a/internal/block/holder_test.go
+++ b/internal/block/holder_test.go
@@ -599,3 +599,88 @@
 		t.Error("kept although its session is over")
 	}
 }
+
+// started offers a task to a holder and confirms its start record, once after ticks that come on
+// time and once after a late one; it gives the effects of the confirmation.
+func started(t *testing.T, h *Holder, at clock.Micros) []any {
+	t.Helper()
+	offer := peer.Offer{Job: wire.Job{Ref: "j-000009", Team: "red", Tasks: 1, CPUs: 1, MemoryGB: 1, Spot: true}, Indexes: []int{0}}
+	fx := h.Step(at, &peer.Down{Epoch: 9, Orders: []peer.BlockOrders{{Block: 0, Token: 50, Seq: 1, Offers: []peer.Offer{offer}}}})
+	for _, e := range fx {
+		if r, ok := e.(Record); ok {
+			return h.Step(at, r.Settled(store.Outcome{OK: true, Revision: 8}))
+		}
+	}
+	t.Fatal("no start record")
+	return nil
+}
+
+func directCommands(fx []any) (n int) {
+	for _, e := range fx {
+		switch e.(type) {
+		case Orders, Inspect:
+			n++
+		}
+	}
+	return n
+}
+
+// A direct command costs a controller more than the answer to a report. One that is behind with
+// its work lets the next report's answer carry a start; one that is not sends it at once.
+func TestStartsWaitForReportsUnderOverload(t *testing.T) {
+	const onTime, late = lateTick / 2, 2 * lateTick
+	for _, c := range []struct {
+		name  string
+		ticks clock.Micros
+		quiet clock.Micros // since the last report
+		want  int
+	}{
+		{"ticks on time", onTime, 0, 1},
+		{"a late tick", late, 0, 0},
+		{"a late tick, and the report is overdue", late, 3 * clock.Second, 1},
+	} {
+		h := holding(t)
+		at := now + clock.Second
+		h.Step(at, beat("m1", 1, 50, running(1)))
+		h.Step(at, Tick{})
+		at += c.ticks
+		h.Step(at, Tick{})
+		h.Step(at, beat("m1", 2, 50, running(1)))
+		at += c.quiet
+		h.ticked = at // ticks meanwhile came as before
+		if c.ticks == late {
+			h.late = at
+		}
+		if n := directCommands(started(t, h, at)); n != c.want {
+			t.Errorf("%s: %d direct commands, want %d", c.name, n, c.want)
+		}
+		runs := 0
+		for _, cmd := range answerOf(t, h.Step(at, beat("m1", 3, 50, running(1)))).Body.Commands {
+			if cmd.Op == wire.Run {
+				runs++
+			}
+		}
+		if runs != 1 {
+			t.Errorf("%s: the next answer carries %d run orders, want 1", c.name, runs)
+		}
+	}
+}
+
+// A block that is granted to an overloaded controller is fenced by its machines' reports, not by
+// a direct command to each.
+func TestGrantUnderOverloadSendsNoCommands(t *testing.T) {
+	for _, overloaded := range []bool{false, true} {
+		h := holding(t)
+		at := now + clock.Second
+		h.Step(at, Tick{})
+		if overloaded {
+			at += 2 * lateTick
+		}
+		h.Step(at, Tick{})
+		fx := h.Step(at, &peer.Down{Epoch: 9, Grants: []peer.Grant{{Block: 0, Token: 51, Stamp: 8,
+			Machines: []peer.RosterMachine{{Name: "m1", Address: "a1"}, {Name: "m2", Address: "a2"}}}}})
+		if n := directCommands(fx); (n == 0) != overloaded {
+			t.Errorf("overloaded %v: %d direct commands", overloaded, n)
+		}
+	}
+}
