Blocks are taken over at the pace of a controller's share, and move back together

Cause: the one controller left took four blocks of two others at once: 400 workers connect, learn the token and report again within a second, its share is used up for five, and it lost its lease while the others came back. Blocks even out together, after one second in touch.

--- a/internal/leader/grants.go
+++ b/internal/leader/grants.go
@@ -118,7 +118,8 @@
 	most := l.mostBlocks()
 	for _, b := range rest {
 		to := least()
-		if count[to] >= most && now-b.homeless < l.patience() {
+		n := l.nodes[to]
+		if now < n.busyUntil || count[to] >= most && now-b.homeless < l.patience() {
 			// All that is needed now is what may run there, as it counts.
 			if !b.known {
 				b.holder = ""
@@ -127,25 +128,12 @@
 			continue
 		}
 		b.holder = to
+		n.busyUntil = now + l.takeoverTime()
 		count[to]++
 		todo = append(todo, b)
 	}
 	if len(todo) == 0 {
-		to := least()
-		n := l.nodes[to]
-		// One that heard no worker is tried with a single block first.
-		trying := n.blindAt > 0 && now-n.tried < blindFor/2
-		for _, b := range l.blocks {
-			// Through the state service a grant may take longer than its workers' leases last.
-			if n.slow && count[b.holder] <= l.answerable() {
-				continue
-			}
-			if b.state == granted && count[b.holder] >= count[to]+2 && now-n.joined > 2*clock.Second && !trying {
-				b.holder, n.tried = to, now
-				todo = append(todo, b)
-				break
-			}
-		}
+		todo = l.even(now, count, least)
 	}
 	for len(todo) > 0 {
 		k := min(len(todo), l.txnOps)
@@ -154,6 +142,42 @@
 	}
 }
 
+// even finds blocks to move to the controller that has the fewest, from those that have at least
+// two more. They move together, as whoever has many is often overloaded by them.
+func (l *Leader) even(now clock.Micros, count map[string]int, least func() string) []*lblock {
+	to := least()
+	n := l.nodes[to]
+	if now-n.joined <= settleTime {
+		return nil
+	}
+	careful := n.blindAt > 0
+	if careful && now-n.tried < blindFor/2 {
+		return nil
+	}
+	var moved []*lblock
+	for _, b := range l.blocks {
+		// Through the state service a grant may take longer than its workers' leases last.
+		if n.slow && count[b.holder] <= l.answerable() {
+			continue
+		}
+		if b.state != granted || count[b.holder] < count[to]+2 {
+			continue
+		}
+		count[b.holder]--
+		count[to]++
+		b.holder, n.tried = to, now
+		moved = append(moved, b)
+		// One that heard no worker for a while is tried with a single block first.
+		if careful || n.slow {
+			break
+		}
+	}
+	return moved
+}
+
+// settleTime is how long a controller must have been linked before blocks move to it.
+const settleTime = clock.Second
+
 // reportCost is what a worker's report a second takes of a core, all that follows from it and
 // the reports of changes included: 600 machines that report every 3 s take three controllers
 // 0.022 of a core, 0.00011 for each report. What is more is left for who leads besides.
@@ -176,6 +200,21 @@
 	return int(min(able, float64(len(l.blocks))))
 }
 
+// takeoverCost is what it takes of a core-second to take over one machine: its worker connects,
+// reports, learns the new token, reports again, and is told of its tasks.
+const takeoverCost = 0.0003
+
+// leastPace bounds how many blocks a controller takes over within a worker's lease.
+const leastPace = 16
+
+// takeoverTime is how long a controller is busy with the workers of a block that it takes over.
+// Several blocks at once would make it late with every answer and cost a leader its lease.
+func (l *Leader) takeoverTime() clock.Micros {
+	machines := float64(len(l.machines)) / float64(len(l.blocks))
+	busy := machines * takeoverCost / l.cfg.Facts.Quota.CPU
+	return clock.FromSeconds(min(busy, l.cfg.LeaseTime().Seconds()/leastPace))
+}
+
 // patience is how long blocks beyond that wait for a holder to come back: the last
 // answers of the former one hold its workers' leases for longer.
 func (l *Leader) patience() clock.Micros {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -18,15 +18,17 @@
 )
 
 type node struct {
-	name     string
-	run      uint64
-	link     any
-	slow     bool // messages take seconds
-	joined   clock.Micros
-	heard    clock.Micros
-	blindAt  clock.Micros // when it last heard none of its workers
-	tried    clock.Micros // when it was last given a block after that
-	badSince clock.Micros // since when the state service refuses it; 0: it does not
+	name    string
+	run     uint64
+	link    any
+	slow    bool // messages take seconds
+	joined  clock.Micros
+	heard   clock.Micros
+	blindAt clock.Micros // when it last heard none of its workers
+	tried   clock.Micros // when it was last given a block after that
+	// until when it is busy with the workers of the block that it took over last
+	busyUntil clock.Micros
+	badSince  clock.Micros // since when the state service refuses it; 0: it does not
 }
 
 type machine struct {
@@ -295,7 +297,7 @@
 			if c, ok := decode[wire.Catalog](l, it); ok {
 				l.setTypes(c.Types)
 			}
-		case strings.HasPrefix(it.Key, "block/"):
+		case strings.HasPrefix(it.Key, block.KeyPrefix):
 			if r, ok := decode[BlockRecord](l, it); ok {
 				stamps[it.Key], holders[it.Key] = it.Version, r
 			}
