--- /dev/null
+++ b/internal/block/state.go
@@ -0,0 +1,165 @@
+package block
+
+import (
+	"slices"
+	"strings"
+
+	"swiftledge/internal/clock"
+	"swiftledge/internal/peer"
+	"swiftledge/internal/placement"
+)
+
+type recState int
+
+const (
+	recording recState = iota // the start record is being written: never ordered yet
+	ordered                   // a run command may have been sent
+	shown                     // a report under our token has shown the attempt
+	exited
+)
+
+// rec is one attempt that may be on a machine.
+type rec struct {
+	task      peer.Task
+	attempt   uint64
+	m         *machine
+	group     *peer.RecordGroup // what the task takes; Starts unused
+	page      *page             // where its record is; nil once it needs none
+	place     int               // in page.recs
+	state     recState
+	inherited bool
+	session   uint64 // in which it was ordered
+	inflight  int    // run orders sent directly and not answered: they may still be carried out
+	direct    bool   // a run order under our token went out directly: a copy of it may come late
+	running   bool
+	done      bool // it exited with its result kept
+	startedAt clock.Micros
+	stop      int // 0 no, 1 with time to save, 2 at once
+	stopAt    clock.Micros
+	told      bool // the leader has been told how it ended
+	stored    bool // what its end proved is stored
+}
+
+type machine struct {
+	name, address, typ, zone string
+	spot                     bool
+	session, seq             uint64
+	began                    clock.Micros // when we first saw the session
+	beatSession, beatSeq     uint64       // of the newest report of its own, not of an answer to us
+	shown                    bool         // has shown our token
+	heard                    clock.Micros
+	answered                 clock.Micros
+	notice, known, drain     bool
+	gone, lost, dirty        bool
+	rest                     bool // the leader wants no new tasks here
+	wasFit, silent           bool
+	unheard                  int          // direct commands without an answer, in a row
+	deaf                     clock.Micros // since when it seems not to hear us; 0: it does
+	fenced                   clock.Micros // when it was last shown our token directly
+	recs                     []*rec       // in the order in which they came
+	failed                   []string     // jobs whose tasks failed here
+	free                     *placement.Machine
+	images                   *placement.Cache
+}
+
+type blk struct {
+	id           int
+	token, stamp uint64
+	since        clock.Micros
+	expires      clock.Micros
+	counter      uint64
+	pageSeq      int
+	writeSeq     int
+	pages        []*page // in the order in which they came
+	writing      *cycleWrite
+	compacting   *page
+	compactedAt  clock.Micros
+	erase        []string
+	erasedAt     clock.Micros
+	machines     map[string]*machine
+	order        []*machine // by name
+	changed      []*machine // that the leader is to be told of
+	byTask       map[peer.Task][]*rec
+	// attempts counts, by task, those whose end the leader has not been told. A
+	// stale record may stand beside a live one: only the last end gives the task back.
+	attempts map[peer.Task]int
+	seq      uint64 // of the leader's offers that are settled
+	taken    uint64 // of those taken in
+	tell     bool
+	raise    bool // the leader was asked for a new token
+	events   []peer.Event
+}
+
+func (b *blk) machine(name string) *machine {
+	m := b.machines[name]
+	if m == nil {
+		m = &machine{name: name, images: &placement.Cache{}}
+		b.machines[name] = m
+		at, _ := slices.BinarySearchFunc(b.order, name, func(o *machine, n string) int { return strings.Compare(o.name, n) })
+		b.order = slices.Insert(b.order, at, m)
+		b.mark(m)
+	}
+	return m
+}
+
+// mark notes that the leader is to be told of the machine.
+func (b *blk) mark(m *machine) {
+	m.free = nil
+	if !m.dirty {
+		m.dirty = true
+		b.changed = append(b.changed, m)
+	}
+}
+
+// find gives the machine's record of an attempt; attempts never repeat.
+func (m *machine) find(attempt uint64) *rec {
+	for _, r := range m.recs {
+		if r.attempt == attempt {
+			return r
+		}
+	}
+	return nil
+}
+
+func (b *blk) add(r *rec) {
+	r.m.recs = append(r.m.recs, r)
+	b.byTask[r.task] = append(b.byTask[r.task], r)
+	b.attempts[r.task]++
+	b.mark(r.m)
+}
+
+// tellEnd says how an attempt ended, once; a task comes back only with its last attempt.
+func (b *blk) tellEnd(r *rec, e peer.Event) {
+	if r.told {
+		return
+	}
+	r.told = true
+	b.attempts[r.task]--
+	last := b.attempts[r.task] == 0
+	if last {
+		delete(b.attempts, r.task)
+	}
+	if last || e.Kind == peer.Done {
+		b.events = append(b.events, e)
+	}
+}
+
+// settle gives up the record of an attempt whose end is proven and stored.
+func (b *blk) settle(r *rec) {
+	if r.page != nil {
+		r.page.drop(r)
+	}
+}
+
+// lose takes off the books an attempt that is proven to be on the machine no more.
+func (b *blk) lose(r *rec, kind string) {
+	b.tellEnd(r, peer.Event{Task: r.task, Kind: kind, Machine: r.m.name})
+	b.settle(r)
+	r.m.recs = slices.DeleteFunc(r.m.recs, func(o *rec) bool { return o == r })
+	if left := slices.DeleteFunc(b.byTask[r.task], func(o *rec) bool { return o == r }); len(left) > 0 {
+		b.byTask[r.task] = left
+	} else {
+		delete(b.byTask, r.task)
+	}
+	b.mark(r.m)
+}
--- /dev/null
+++ b/internal/block/tick.go
@@ -0,0 +1,93 @@
+package block
+
+import (
+	"maps"
+	"slices"
+
+	"swiftledge/internal/clock"
+	"swiftledge/internal/peer"
+)
+
+// lateTick is the time between two Ticks from which this controller counts as overloaded: they
+// are sent several times as often, so messages wait for longer than that to be handled.
+const lateTick = 500 * clock.Millisecond
+
+// overloadMemory is how long after the last late Tick the controller still counts as overloaded.
+const overloadMemory = 2 * clock.Second
+
+// overloaded says whether this controller has lately fallen behind with its messages.
+func (h *Holder) overloaded(now clock.Micros) bool {
+	return h.late > 0 && now-h.late < overloadMemory
+}
+
+func (h *Holder) tick(now clock.Micros) {
+	if h.ticked > 0 && now-h.ticked > lateTick {
+		h.late = now
+	}
+	h.ticked = now
+	if h.linked && now-h.renewed >= clock.Second {
+		h.sendRenew(now)
+	}
+	for _, id := range slices.Sorted(maps.Keys(h.blocks)) {
+		h.tickBlock(now, h.blocks[id])
+	}
+}
+
+func (h *Holder) tickBlock(now clock.Micros, b *blk) {
+	kept := 0
+	var buried []string
+	for _, m := range b.order {
+		for _, r := range m.recs {
+			if r.state == exited && r.stored && !r.forgettable() {
+				kept++
+			}
+		}
+		if m.gone {
+			if len(m.recs) == 0 && now-m.heard > 10*60*clock.Second {
+				buried = append(buried, m.name)
+			}
+			continue
+		}
+		// Silence proves the end only after every grant that could have answered, and the
+		// worker's lease. A session has its lease from its beginning, also when none of
+		// its reports was ever answered and its tasks were ordered directly.
+		base := max(m.answered, m.began, b.since+h.p.LongestGrant.Longer())
+		since := max(m.heard, b.since)
+		quiet := h.p.Lease * 11 / 20
+		if m.notice {
+			quiet = min(quiet, h.p.ReportTime*5/2) // announced, so it needs no second look
+		}
+		knows := m.heard > 0 || len(m.recs) > 0
+		// One that is only in the roster may not be up yet; the leader knows which were.
+		silent := (knows || m.known) && now-since > quiet || m.deaf > 0 && now-m.deaf > quiet
+		if silent != m.silent {
+			m.silent = silent
+			b.mark(m)
+		}
+		if !m.lost && knows && now > base+h.p.Lease.Longer()+clock.Second {
+			m.lost = true
+			b.mark(m)
+			for _, r := range slices.Clone(m.recs) {
+				if r.state != recording {
+					b.lose(r, peer.Back)
+				}
+			}
+		}
+		if (!m.shown && !m.lost && m.fenced > 0 || m.deaf > 0) && now-m.fenced > h.fenceAfter(now) {
+			h.fence(now, b, m)
+		}
+		if fit := h.fit(now, b, m); fit != m.wasFit {
+			b.mark(m)
+		}
+	}
+	for _, name := range buried {
+		delete(b.machines, name)
+		b.order = slices.DeleteFunc(b.order, func(m *machine) bool { return m.name == name })
+	}
+	if kept > lingering && !b.raise && h.linked {
+		b.raise = true
+		h.askAnew(b)
+	}
+	h.tidy(now, b)
+	h.compact(now, b)
+}
--- /dev/null
+++ b/internal/leader/fleet.go
@@ -0,0 +1,240 @@
+package leader
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"swiftledge/internal/clock"
+	"swiftledge/internal/fleet"
+	"swiftledge/wire"
+)
+
+// tendFleet rents, returns and gives up machines.
+func (l *Leader) tendFleet(now clock.Micros) {
+	if now-l.lastFleet < clock.Second/2 {
+		return
+	}
+	l.lastFleet = now
+	lag := clock.FromSeconds(l.cfg.Facts.Cloud.ListLagS)
+	// Lists give way to rentals, which share the cloud's few calls with them.
+	every := max(lag/2, 2*clock.Second)
+	pending := 0
+	for _, rt := range l.rentals {
+		if !rt.rec.Asked {
+			pending++
+		}
+	}
+	if pending > 0 {
+		every *= 2
+	}
+	if !l.listing && now-l.lastList > every {
+		l.listing, l.lastList = true, now
+		l.emit(List{})
+	}
+	if l.listing && now-l.lastList > 30*clock.Second {
+		l.listing = false
+	}
+	again := 60 * clock.Second
+	if len(l.types) == 0 {
+		again = 3 * clock.Second
+	}
+	if now-l.catalogAt > again {
+		l.catalogAt = now
+		l.emit(ReadCatalog{})
+	}
+	if len(l.types) == 0 {
+		return
+	}
+	// While an answer is out, machines that nobody knows may be its rental's.
+	if pending == 0 {
+		l.adopt(now)
+	}
+	for _, key := range slices.Sorted(maps.Keys(l.rentals)) {
+		rt := l.rentals[key]
+		if !rt.rec.Asked {
+			if rt.busy && rt.asked > 0 && now-rt.asked > 8*clock.Second {
+				rt.asked = now
+				l.emit(Rent{l.epoch, rt.rec.Rental})
+			}
+		} else if !rt.busy {
+			l.tidyRental(now, rt)
+		}
+	}
+	// While many machines are lost, or the cloud answers nothing, those that live are
+	// planned with all the same.
+	doomed := l.doomed(now)
+	for _, name := range doomed {
+		l.machines[name].deleting = true
+	}
+	if now-l.lastPlan >= clock.Second {
+		l.lastPlan = now
+		doomed = append(doomed, l.plan(now, pending < 4)...)
+	}
+	sent := 0
+	if len(doomed) > 0 && l.deleting < 3 {
+		sent = min(len(doomed), 100)
+		l.deleting++
+		l.emit(Delete{l.epoch, doomed[:sent]})
+	}
+	for i, name := range doomed {
+		l.machines[name].deleting = i < sent
+	}
+}
+
+// adopt takes machines into the roster that nobody here knows to have rented.
+func (l *Leader) adopt(now clock.Micros) {
+	if len(l.found) == 0 {
+		return
+	}
+	byKind := map[wire.Rental][]string{}
+	for _, name := range slices.Sorted(maps.Keys(l.found)) {
+		w := l.found[name]
+		k := wire.Rental{Type: w.Type, Zone: w.Zone, Spot: w.Spot}
+		byKind[k] = append(byKind[k], name)
+	}
+	clear(l.found)
+	kinds := slices.SortedFunc(maps.Keys(byKind), func(a, c wire.Rental) int { return strings.Compare(byKind[a][0], byKind[c][0]) })
+	for _, k := range kinds {
+		names := byKind[k]
+		// As many as a rental has at most: more might not fit into a value.
+		for part := range slices.Chunk(names, fleet.MostAtOnce) {
+			l.rentSeq++
+			rt := &rental{key: fmt.Sprintf("%sfound-%d-%d", FleetPrefix, l.epoch, l.rentSeq), busy: true,
+				rec: FleetRecord{Rental: k, Machines: part, Asked: true}}
+			l.rentals[rt.key] = rt
+			l.writeRental(rt)
+		}
+	}
+}
+
+// doomed are machines that serve nobody any more.
+func (l *Leader) doomed(now clock.Micros) []string {
+	silent := map[*lblock]int{}
+	up := map[*lblock]int{}
+	for _, m := range l.machines {
+		b := m.block
+		// Those that gave notice are expected to fall silent, many at once too.
+		if m.up && !m.state.Notice {
+			up[b]++
+			if m.state.Silent {
+				silent[b]++
+			}
+		}
+	}
+	lag := clock.FromSeconds(l.cfg.Facts.Cloud.ListLagS)
+	var out []string
+	for _, name := range slices.Sorted(maps.Keys(l.machines)) {
+		m := l.machines[name]
+		b := m.block
+		if m.deleting {
+			continue
+		}
+		late := clock.FromSeconds(m.opt.Type.BootS*l.cfg.Tuning.Fleet.LateFactor) + lag
+		why := ""
+		switch {
+		case m.missing >= 1000:
+			why = "failed"
+		case m.missing >= 3 && (m.state.Silent || !m.up || now-m.listed > 3*lag+10*clock.Second):
+			why = "no longer listed"
+		// Many silent machines at once point at the holder, not at them.
+		case m.state.Silent && (m.state.Notice || silent[b]*2 < up[b] || silent[b] == 1):
+			why = "silent"
+		case !m.up && (m.booting || m.listed == 0) && b.state == granted && now-m.born > late && now-l.began > late/2:
+			why = "never came up"
+		case m.drain && m.up && m.state.Tasks == 0 && !b.offered:
+			why = "drained"
+		}
+		if why != "" {
+			out = append(out, name)
+			l.emit(Log{Debug: true, Text: "giving machine up", Args: []any{"machine", name, "why", why}})
+		}
+	}
+	return out
+}
+
+// plan rents what the queues need, if it may, and names idle machines to return.
+func (l *Leader) plan(now clock.Micros, rent bool) []string {
+	flat := l.needs(now)
+	var supply []fleet.Supply
+	idleFor := clock.FromSeconds(l.cfg.Tuning.Fleet.IdleS)
+	for _, name := range slices.Sorted(maps.Keys(l.machines)) {
+		m := l.machines[name]
+		if m.deleting || m.drain || m.state.Notice || m.state.Silent {
+			continue
+		}
+		idle := m.up && m.state.Tasks == 0 && !m.block.offered
+		wait := idleFor
+		if !m.opt.Spot {
+			wait = idleFor / 5
+		}
+		s := fleet.Supply{Option: m.opt, Name: name, Up: m.up, Idle: idle, Keep: idle && now-m.idle < wait || now-m.born < 55*clock.Second}
+		if m.up && m.opt.Type.CPUs > 0 {
+			s.Load = 1 - m.state.CPUs/m.opt.Type.CPUs
+		}
+		supply = append(supply, s)
+	}
+	stuck := false
+	for _, rt := range l.rentals {
+		if !rt.rec.Asked {
+			stuck = stuck || now-rt.since > stuckAfter
+			for range rt.rec.Rental.Count {
+				supply = append(supply, fleet.Supply{Option: l.option(rt.rec.Rental)})
+			}
+		}
+	}
+	var opts []fleet.Option
+	for _, t := range l.typeList {
+		for _, z := range t.ZoneNames {
+			opts = append(opts, fleet.Option{Type: t, Zone: z}, fleet.Option{Type: t, Zone: z, Spot: true})
+		}
+	}
+	tune := l.cfg.Tuning.Fleet
+	d := fleet.Plan(flat, supply, opts, fleet.Params{SpotClearS: tune.SpotClearS, OrdinaryClearS: tune.OrdinaryClearS, Reserve: tune.Reserve},
+		func(o fleet.Option) bool { return now >= l.refused[o.Key()].until })
+	l.rest(d, stuck)
+	l.stirred = true // what is shunned no more has room again
+	if !rent {
+		return d.Return
+	}
+	for _, o := range d.Rent {
+		l.rentSeq++
+		req := fmt.Sprintf("r-%d-%d", l.epoch, l.rentSeq)
+		rt := &rental{key: FleetPrefix + req, since: now, rec: FleetRecord{Rental: wire.Rental{Request: req, Type: o.Type.Name, Zone: o.Zone, Spot: o.Spot, Count: o.Count}}}
+		l.rentals[rt.key] = rt
+		l.writeRental(rt)
+	}
+	return d.Return
+}
+
+// stuckAfter is how long a rental is without an answer before the cloud counts as away.
+const stuckAfter = 10 * clock.Second
+
+// rest tells the holders which machines their auctions are to leave out. Those not
+// worth their price get no work at all; those that are only more than needed get it
+// again as soon as the others have no room.
+//
+// While the cloud does not answer, nothing cheaper comes: what is there serves, too.
+func (l *Leader) rest(d fleet.Decision, stuck bool) {
+	for _, m := range l.machines {
+		m.shun, m.rest = false, false
+	}
+	for _, name := range d.Shun {
+		l.machines[name].shun, l.machines[name].rest = !stuck, stuck
+	}
+	for _, name := range d.Rest {
+		l.machines[name].rest = true
+	}
+	for _, name := range slices.Sorted(maps.Keys(l.machines)) {
+		m := l.machines[name]
+		if out := m.shun || m.rest; out != m.out && m.block.state == granted {
+			m.out = out
+			if out {
+				m.block.orders.Rest = append(m.block.orders.Rest, name)
+			} else {
+				m.block.orders.Wake = append(m.block.orders.Wake, name)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/leader/load.go
@@ -0,0 +1,110 @@
+package leader
+
+import (
+	"strings"
+
+	"swiftledge/internal/block"
+	"swiftledge/internal/clock"
+	"swiftledge/internal/peer"
+	"swiftledge/internal/store"
+	"swiftledge/wire"
+)
+
+func (l *Leader) load(now clock.Micros, m Loaded) {
+	l.wall = m.Wall - now
+	l.viewed = m.Asked
+	n := l.cfg.Tuning.Grants.Blocks
+	haveLayout := false
+	stamps := map[string]uint64{}
+	holders := map[string]BlockRecord{}
+	for _, it := range m.Items {
+		switch {
+		case it.Key == LayoutKey:
+			if r, ok := decode[LayoutRecord](l, it); ok && r.Blocks > 0 {
+				n, haveLayout = r.Blocks, true
+			}
+		case it.Key == CatalogKey:
+			if c, ok := decode[wire.Catalog](l, it); ok {
+				l.setTypes(c.Types)
+			}
+		case strings.HasPrefix(it.Key, block.KeyPrefix):
+			if r, ok := decode[BlockRecord](l, it); ok {
+				stamps[it.Key], holders[it.Key] = it.Version, r
+			}
+		}
+	}
+	// Machines belong to blocks, so these come first.
+	for i := range n {
+		k := block.Key(i)
+		l.blocks = append(l.blocks, &lblock{id: i, stamp: stamps[k], holder: holders[k].Holder, tasks: map[peer.Task]*held{}})
+	}
+	for _, it := range m.Items {
+		switch {
+		case strings.HasPrefix(it.Key, JobPrefix):
+			if r, ok := decode[JobRecord](l, it); ok {
+				l.addJob(r, it.Version)
+			}
+		case strings.HasPrefix(it.Key, FleetPrefix):
+			if r, ok := decode[FleetRecord](l, it); ok {
+				l.loadRental(now, it, r)
+			}
+		}
+	}
+	for _, it := range m.Items {
+		if strings.HasPrefix(it.Key, ProgPrefix) {
+			if r, ok := decode[ProgRecord](l, it); ok {
+				l.loadShelf(it, r)
+			}
+		}
+	}
+	for _, j := range l.jobs {
+		for i := range j.rec.Spec.Tasks {
+			if j.isDone(i) {
+				j.nDone++
+				j.okay = true
+			}
+		}
+	}
+	if !haveLayout {
+		l.commit(store.Urgent, nil, []wire.Guard{{Key: LayoutKey}}, []wire.Write{put(LayoutKey, LayoutRecord{n})})
+	}
+	for _, j := range l.jobs {
+		j.fillWaiting()
+	}
+	l.loaded = true
+	l.stirred = true
+	l.emit(List{})
+	l.listing = true
+	l.lastList = now
+	l.emit(ReadCatalog{})
+	l.catalogAt = now
+	l.info("leading", "epoch", l.epoch, "jobs", len(l.jobs), "machines", len(l.machines), "blocks", n)
+}
+
+func (l *Leader) setTypes(ts []wire.MachineType) {
+	l.typeList = ts
+	for _, t := range ts {
+		l.types[t.Name] = t
+	}
+	for _, m := range l.machines {
+		m.opt.Type = l.types[m.opt.Type.Name]
+	}
+}
+
+func (l *Leader) catalog(now clock.Micros, ts []wire.MachineType) {
+	if len(ts) == 0 {
+		return
+	}
+	same := len(ts) == len(l.typeList)
+	for i := range ts {
+		same = same && l.typeList[i].Name == ts[i].Name && l.typeList[i].CPUs == ts[i].CPUs
+	}
+	l.setTypes(ts)
+	if !same {
+		// Kept in the store so that submissions can be judged while the cloud is away.
+		l.commit(store.Normal, nil, nil, []wire.Write{put(CatalogKey, wire.Catalog{Types: ts})})
+		for _, n := range l.byName() {
+			l.emit(Tell{n.link, peer.Down{Epoch: l.epoch, Types: ts}})
+		}
+	}
+}
--- /dev/null
+++ b/internal/leader/rentals.go
@@ -0,0 +1,131 @@
+package leader
+
+import (
+	"slices"
+
+	"swiftledge/internal/clock"
+	"swiftledge/internal/fleet"
+	"swiftledge/internal/store"
+	"swiftledge/wire"
+)
+
+type fleetTag struct{ key string }
+
+func (l *Leader) loadRental(now clock.Micros, it wire.Item, r FleetRecord) {
+	rt := &rental{key: it.Key, stamp: it.Version, rec: r, since: now}
+	l.rentals[it.Key] = rt
+	if !r.Asked {
+		// The answer was lost with a former leader; the same name gives the same machines.
+		rt.busy, rt.asked = true, now
+		l.emit(Rent{l.epoch, r.Rental})
+		return
+	}
+	for _, name := range r.Machines {
+		l.addMachine(now, name, rt)
+	}
+}
+
+func (l *Leader) option(r wire.Rental) fleet.Option {
+	t, ok := l.types[r.Type]
+	if !ok {
+		t = wire.MachineType{Name: r.Type}
+	}
+	return fleet.Option{Type: t, Zone: r.Zone, Spot: r.Spot}
+}
+
+func (l *Leader) writeRental(rt *rental) {
+	rt.busy = true
+	l.commit(store.Starts, fleetTag{rt.key}, []wire.Guard{{Key: rt.key, Version: rt.stamp}}, []wire.Write{put(rt.key, rt.rec)})
+}
+
+// tidyEvery is how long machines that are gone may stay in the roster: there they do
+// no harm but to a new leader, which waits for them a while, and each write costs a put.
+const tidyEvery = 20 * clock.Second
+
+// rosterBytes is about what a machine takes in its record, with its part of the rest.
+const rosterBytes = 20
+
+// tidyRental takes machines that are gone out of the durable roster.
+func (l *Leader) tidyRental(now clock.Micros, rt *rental) {
+	left := slices.DeleteFunc(slices.Clone(rt.rec.Machines), func(n string) bool { return l.gone[n] })
+	if len(left) > 0 && (len(left) == len(rt.rec.Machines) || now-rt.tidied < tidyEvery) {
+		return
+	}
+	rt.tidied = now
+	if len(left)*rosterBytes > l.valueBytes {
+		return // of the time when values could be larger: it stays as it is until less is left
+	}
+	rt.rec.Machines = left
+	if len(left) == 0 {
+		delete(l.rentals, rt.key)
+		l.commit(store.Lazy, nil, nil, []wire.Write{{Delete: rt.key}})
+		return
+	}
+	l.writeRental(rt)
+}
+
+func (l *Leader) fleetWritten(now clock.Micros, tag fleetTag, m Committed) {
+	rt := l.rentals[tag.key]
+	if rt == nil {
+		return
+	}
+	// Only this epoch's leader writes the key, so a failed guard is an earlier try that went through.
+	if !m.Outcome.OK && !(m.Outcome.FailedOn(tag.key) && m.Outcome.Unsure) {
+		l.info("roster write failed", "key", tag.key, "error", m.Err)
+		delete(l.rentals, tag.key)
+		return
+	}
+	rt.busy = false
+	if m.Outcome.OK {
+		rt.stamp = m.Outcome.Revision
+	}
+	if !rt.rec.Asked {
+		rt.busy, rt.asked = true, now
+		l.emit(Rent{l.epoch, rt.rec.Rental})
+		return
+	}
+	for _, name := range rt.rec.Machines {
+		if !l.gone[name] {
+			l.addMachine(now, name, rt)
+		}
+	}
+}
+
+func (l *Leader) rented(now clock.Micros, m Rented) {
+	rt := l.rentals[FleetPrefix+m.Request]
+	if rt == nil || rt.rec.Asked {
+		return
+	}
+	switch {
+	case m.Err == nil:
+		rt.rec.Machines, rt.rec.Asked = m.Machines, true
+		l.answered(now, rt, len(m.Machines) < rt.rec.Rental.Count)
+		l.emit(Log{Debug: true, Text: "rented", Args: []any{"request", m.Request, "count", len(m.Machines), "type", rt.rec.Rental.Type, "spot", rt.rec.Rental.Spot}})
+		if len(m.Machines) == 0 {
+			l.tidyRental(now, rt)
+			return
+		}
+		l.writeRental(rt)
+	case m.NoCapacity:
+		l.answered(now, rt, true)
+		rt.rec.Asked = true
+		l.tidyRental(now, rt)
+	default:
+		// Asked again under the same name, soon.
+		rt.asked = now - 6*clock.Second
+	}
+}
+
+// answered notes whether an option had all that was asked for. One that had not is
+// left alone for a while, longer each time: every try costs puts and cloud calls.
+func (l *Leader) answered(now clock.Micros, rt *rental, short bool) {
+	k := l.option(rt.rec.Rental).Key()
+	if !short {
+		delete(l.refused, k)
+		return
+	}
+	r := l.refused[k]
+	r.wait = min(max(2*r.wait, 10*clock.Second), clock.Minute)
+	r.until = now + r.wait
+	l.refused[k] = r
+}
--- /dev/null
+++ b/internal/node/elector.go
@@ -0,0 +1,125 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"swiftledge/internal/api"
+	"swiftledge/internal/clock"
+	"swiftledge/internal/election"
+	"swiftledge/internal/leader"
+	"swiftledge/internal/store"
+	"swiftledge/wire"
+)
+
+func (n *Node) runElector(ctx context.Context) {
+	e := election.New(election.Record{Node: n.cfg.Name, Run: n.run}, clock.FromSeconds(n.cfg.Tuning.Election.TTLS))
+	for msg := range n.elector {
+		if q, ok := msg.(askEpoch); ok {
+			q.answer <- e.Epoch()
+			continue
+		}
+		for _, fx := range e.Step(n.clock.Now(), msg) {
+			n.electorEffect(ctx, fx)
+		}
+	}
+}
+
+func (n *Node) electorEffect(ctx context.Context, fx any) {
+	switch x := fx.(type) {
+	case election.GetLease:
+		go func() {
+			sent := n.clock.Now()
+			id, err := n.store.Grant(short(ctx), x.TTL)
+			n.elector <- election.Leased{Lease: id, Sent: sent, Err: err}
+		}()
+	case election.Claim:
+		go func() {
+			t, err := x.Txn()
+			if err != nil {
+				n.log.Error("claim", "error", err)
+				return
+			}
+			o, err := n.store.Once(short(ctx), store.Urgent, t)
+			n.elector <- election.Claimed{Lease: x.Lease, Outcome: o, Err: err}
+		}()
+	case election.Renew:
+		go func() {
+			sent := n.clock.Now()
+			err := n.store.Touch(short(ctx), x.Lease)
+			n.elector <- election.Renewed{Lease: x.Lease, Sent: sent, Err: err}
+		}()
+	case election.Drop:
+		go n.store.Drop(short(ctx), x.Lease)
+	case election.Look:
+		go n.look(ctx)
+	case election.Lead:
+		n.store.SetBudget(n.share(true))
+		n.leader <- leader.Elected{Epoch: x.Epoch, Run: n.run}
+		n.leader <- leader.Authority{Until: x.Until}
+	case election.Extend:
+		n.leader <- leader.Authority{Until: x.Until}
+	case election.Depose:
+		n.log.Info("no longer leading", "epoch", x.Epoch)
+		n.store.SetBudget(n.share(false))
+		n.leader <- leader.Deposed{}
+	case election.Follow:
+		n.log.Info("following", "leader", x.Node, "epoch", x.Epoch)
+		n.desk.Post(api.Following{Epoch: x.Epoch, Node: x.Node})
+		if x.Epoch > 0 {
+			go n.follow(ctx, x.Epoch, x.Node)
+		}
+	}
+}
+
+// short bounds a call that the next tick would repeat anyway.
+func short(ctx context.Context) context.Context {
+	c, cancel := context.WithTimeout(ctx, 2*time.Second)
+	context.AfterFunc(c, cancel)
+	return c
+}
+
+func (n *Node) look(ctx context.Context) (uint64, bool) {
+	items, rev, err := n.store.List(short(ctx), store.Urgent, leader.Key)
+	if err != nil {
+		time.Sleep(200 * time.Millisecond)
+		n.log.Debug("cannot read the leader key", "error", err)
+		return 0, false
+	}
+	var key wire.Item
+	for _, it := range items {
+		if it.Key == leader.Key {
+			key = it
+		}
+	}
+	seen, err := election.SeenKey(key, rev)
+	if err != nil {
+		n.log.Error("look for the leader", "error", err)
+	}
+	n.elector <- seen
+	return rev, true
+}
+
+// watchLeader tells the elector of every change of the leader key.
+func (n *Node) watchLeader(ctx context.Context) {
+	for ctx.Err() == nil {
+		rev, ok := n.look(ctx)
+		for ok && ctx.Err() == nil {
+			a, err := n.store.Watch(ctx, leader.Key, rev, 10*clock.Second)
+			if err != nil {
+				time.Sleep(100*time.Millisecond + rand.N(200*time.Millisecond))
+				break
+			}
+			rev = max(rev, a.Revision)
+			for _, ev := range a.Events {
+				seen, ok, err := election.SeenEvent(ev)
+				if err != nil {
+					n.log.Error("watch the leader", "error", err)
+				} else if ok {
+					n.elector <- seen
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/holder.go
@@ -0,0 +1,152 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/goccy/go-json"
+	"github.com/valyala/fasthttp"
+
+	"swiftledge/internal/block"
+	"swiftledge/internal/leader"
+	"swiftledge/internal/peer"
+	"swiftledge/internal/store"
+	"swiftledge/wire"
+)
+
+// localLink stands for the way from the leader to the holder of the same process.
+type localLink struct{ epoch uint64 }
+
+// holderUp and holderDown change who the holder speaks to: a *peer.Link or a localLink.
+type (
+	holderUp struct {
+		epoch uint64
+		link  any
+	}
+	holderDown struct {
+		epoch uint64
+		link  any
+	}
+	askEpoch struct{ answer chan uint64 }
+)
+
+func (n *Node) runHolder(ctx context.Context) {
+	h := block.FromConfig(n.cfg, n.health.ok)
+	var link any
+	for msg := range n.holder {
+		switch m := msg.(type) {
+		case holderUp:
+			if l, ok := link.(*peer.Link); ok && l != m.link {
+				l.Close()
+			}
+			link = m.link
+			slow := false
+			if l, ok := m.link.(*peer.Link); ok {
+				slow = l.Slow()
+			}
+			msg = block.Linked{Epoch: m.epoch, Slow: slow}
+		case holderDown:
+			if link != m.link {
+				continue
+			}
+			link = nil
+			msg = block.Unlinked{Epoch: m.epoch}
+		}
+		for _, fx := range h.Step(n.clock.Now(), msg) {
+			n.holderEffect(ctx, link, fx)
+		}
+	}
+}
+
+func (n *Node) holderEffect(ctx context.Context, link, fx any) {
+	switch x := fx.(type) {
+	case block.Send:
+		switch l := link.(type) {
+		case *peer.Link:
+			l.Send(&x.Up)
+		case localLink:
+			n.leader <- leader.Said{Node: n.cfg.Name, Link: l, Up: &x.Up}
+		}
+	case block.Answer:
+		x.Tag.(chan block.Answer) <- x
+	case block.Orders:
+		go n.direct(x)
+	case block.Inspect:
+		go n.inspect(x)
+	case block.Record:
+		// No task of it is ordered before the store has said yes.
+		go n.keep(ctx, store.Starts, x.Txn, func(o store.Outcome) any { return x.Settled(o) })
+	case block.Compact:
+		go n.keep(ctx, store.Lazy, x.Txn, func(o store.Outcome) any { return x.Settled(o) })
+	case block.Erase:
+		go func() {
+			if _, err := n.store.Once(ctx, store.Lazy, x.Txn()); err != nil {
+				// They stay as upper bounds until the block's next grant.
+				n.log.Debug("start records not erased", "error", err)
+			}
+		}()
+	}
+}
+
+// direct sends a command to a worker and brings back what became of it.
+func (n *Node) direct(o block.Orders) {
+	n.directs <- struct{}{}
+	defer func() { <-n.directs }()
+	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(res)
+	done := block.Ordered{Orders: o}
+	raw, err := json.Marshal(o.Body)
+	if err != nil {
+		n.log.Error("encode orders", "error", err)
+		return
+	}
+	req.Header.SetMethod("POST")
+	req.Header.SetContentType("application/json")
+	req.SetRequestURI("http://" + o.Address + "/orders")
+	req.SetBodyRaw(raw)
+	if n.dialled.count() > n.cfg.CommandSockets() {
+		req.SetConnectionClose()
+	}
+	switch err := n.workers.DoTimeout(req, res, 3*time.Second); {
+	case errors.Is(err, errDial):
+		done.Status = block.NotSent
+	case err == nil:
+		done.Status = res.StatusCode()
+		var r wire.Report
+		if (done.Status == 200 || done.Status == 409) && json.Unmarshal(res.Body(), &r) == nil && r.Machine == o.Machine {
+			done.R = &r
+		}
+	}
+	n.holder <- done
+}
+
+// inspect asks a worker for its report.
+func (n *Node) inspect(x block.Inspect) {
+	n.directs <- struct{}{}
+	defer func() { <-n.directs }()
+	done := block.Inspected{Inspect: x}
+	status, body, err := n.workers.GetTimeout(nil, "http://"+x.Address+"/inspect", 2*time.Second)
+	var r wire.Report
+	if err == nil && status == 200 && json.Unmarshal(body, &r) == nil && r.Machine == x.Machine {
+		done.R = &r
+	}
+	n.holder <- done
+}
+
+// keep writes start records and tells the holder what became of it.
+func (n *Node) keep(ctx context.Context, prio int, txn func() (wire.Txn, error), settled func(store.Outcome) any) {
+	ctx, cancel := context.WithTimeout(ctx, 8*time.Second)
+	defer cancel()
+	t, err := txn()
+	if err != nil {
+		n.log.Error("start records", "error", err)
+		return
+	}
+	o, err := n.store.Commit(ctx, prio, t)
+	if err != nil {
+		n.log.Debug("start records not written", "error", err)
+	}
+	n.holder <- settled(o)
+}
--- /dev/null
+++ b/internal/node/links.go
@@ -0,0 +1,125 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"swiftledge/internal/api"
+	"swiftledge/internal/leader"
+	"swiftledge/internal/netio"
+	"swiftledge/internal/peer"
+)
+
+// follow keeps a link to the leader of an epoch until another epoch begins.
+func (n *Node) follow(ctx context.Context, epoch uint64, name string) {
+	if name == n.cfg.Name {
+		l := localLink{epoch}
+		n.leader <- leader.Joined{Node: n.cfg.Name, Run: n.run, Link: l}
+		n.holder <- holderUp{epoch, l}
+		return
+	}
+	addr := ""
+	for _, p := range n.cfg.Peers {
+		if p.Name == name {
+			addr = p.Address
+		}
+	}
+	if addr == "" {
+		n.log.Error("leader is not among the known controllers", "leader", name)
+		return
+	}
+	for fails := 0; ctx.Err() == nil && n.desk.Epoch() == epoch; {
+		l, err := peer.Dial(addr, peer.Hello{Node: n.cfg.Name, Run: n.run, Epoch: epoch})
+		switch {
+		case err == nil:
+			fails = 0
+			n.desk.Post(api.Met{})
+			n.linked(epoch, l)
+			continue
+		case errors.Is(err, peer.ErrNotLeading):
+			n.desk.Post(api.Met{})
+		default:
+			fails++
+		}
+		n.log.Debug("cannot reach the leader", "error", err)
+		if fails >= usual {
+			fails = 0
+			n.letters(ctx, epoch, name, addr)
+			continue
+		}
+		time.Sleep(200*time.Millisecond + rand.N(100*time.Millisecond))
+	}
+}
+
+// usual is how often in a row the leader may be out of reach before letters are tried.
+const usual = 4
+
+// letters speaks to the leader through the state service until it can be reached again.
+func (n *Node) letters(ctx context.Context, epoch uint64, name, addr string) {
+	l, err := n.office.Dial(ctx, name, peer.Hello{Node: n.cfg.Name, Run: n.run, Epoch: epoch})
+	if err != nil {
+		n.log.Debug("no answer to letters", "leader", name, "error", err)
+		return
+	}
+	n.log.Info("linked through the state service", "leader", name)
+	over := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-over:
+				return
+			case <-time.After(3 * time.Second):
+			}
+			if c, err := netio.Dial(addr, time.Second); err == nil {
+				c.Close()
+				l.Close()
+				return
+			}
+		}
+	}()
+	n.linked(epoch, l)
+	close(over)
+}
+
+// linked serves a link to the leader until it ends.
+func (n *Node) linked(epoch uint64, l *peer.Link) {
+	n.holder <- holderUp{epoch, l}
+	l.Follow(func(d *peer.Down) {
+		n.desk.Post(api.Met{})
+		n.desk.Post(d)
+		n.holder <- d
+	})
+	n.holder <- holderDown{epoch, l}
+}
+
+func (n *Node) acceptPeers(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			n.log.Error("accept controller", "error", err)
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
+		go n.acceptPeer(c, false)
+	}
+}
+
+func (n *Node) acceptPeer(c net.Conn, slow bool) {
+	peer.Accept(c, slow, peer.Hello{Node: n.cfg.Name, Run: n.run}, func(h peer.Hello) bool {
+		n.desk.Post(api.Met{})
+		q := askEpoch{make(chan uint64, 1)}
+		n.elector <- q
+		epoch := <-q.answer
+		return epoch > 0 && epoch == h.Epoch
+	}, func(l *peer.Link) {
+		n.leader <- leader.Joined{Node: l.Peer.Node, Run: l.Peer.Run, Link: l, Slow: slow}
+	}, func(l *peer.Link, u *peer.Up) {
+		n.desk.Post(api.Met{})
+		n.leader <- leader.Said{Node: l.Peer.Node, Link: l, Up: u}
+	}, func(l *peer.Link) {
+		n.leader <- leader.Left{Node: l.Peer.Node, Link: l}
+	})
+}
--- /dev/null
+++ b/internal/node/state.go
@@ -0,0 +1,106 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"swiftledge/internal/block"
+	"swiftledge/internal/clock"
+	"swiftledge/internal/election"
+	"swiftledge/internal/leader"
+	"swiftledge/internal/store"
+	"swiftledge/wire"
+)
+
+// load reads what an epoch starts from and then watches the jobs.
+func (n *Node) load(ctx context.Context, epoch uint64) {
+	for i := 0; ; i++ {
+		asked := n.clock.Now()
+		items, revision, err := n.readState(ctx)
+		if err == nil {
+			n.leader <- leader.Loaded{Epoch: epoch, Items: items, Revision: revision, Wall: clock.Wall(), Asked: asked}
+			n.watchJobs(ctx, epoch, revision)
+			return
+		}
+		if !store.Pause(ctx, i) {
+			return
+		}
+	}
+}
+
+// readState lists all that a new leader reads, and gives the revision from which the jobs are
+// to be watched. The lists are asked for at once: one after the other, a controller that is
+// behind with its work would wait for each answer in turn, for longer than its lease lasts.
+// Their order does not matter, as only users change jobs while this epoch lasts: all other
+// keys are written under a guard on the leader key.
+func (n *Node) readState(ctx context.Context) ([]wire.Item, uint64, error) {
+	prefixes := []string{leader.JobPrefix, leader.LayoutKey, leader.CatalogKey, block.KeyPrefix, leader.ProgPrefix, leader.FleetPrefix}
+	type listing struct {
+		items    []wire.Item
+		revision uint64
+		err      error
+	}
+	listings := make([]listing, len(prefixes))
+	var wait sync.WaitGroup
+	for i, prefix := range prefixes {
+		wait.Go(func() {
+			l := &listings[i]
+			l.items, l.revision, l.err = n.store.List(ctx, store.Urgent, prefix)
+		})
+	}
+	wait.Wait()
+	var all []wire.Item
+	for _, l := range listings {
+		if l.err != nil {
+			return nil, 0, l.err
+		}
+		all = append(all, l.items...)
+	}
+	return all, listings[0].revision, nil
+}
+
+func (n *Node) watchJobs(ctx context.Context, epoch, rev uint64) {
+	// Two answers, one behind the other, have to come within the time that a view may be old.
+	wait := n.cfg.ViewTime() / 3
+	for i := 0; ctx.Err() == nil; {
+		asked := n.clock.Now()
+		a, err := n.store.Watch(ctx, leader.JobPrefix, rev, wait)
+		switch {
+		case err == nil:
+			i = 0
+			rev = max(rev, a.Revision)
+			if ctx.Err() == nil {
+				n.leader <- leader.Watched{Epoch: epoch, Events: a.Events, Asked: asked}
+			}
+		case errors.Is(err, store.ErrGone):
+			// Too far behind: a new epoch reads everything again.
+			n.elector <- election.Resign{Epoch: epoch}
+			return
+		default:
+			i++
+			store.Pause(ctx, i)
+		}
+	}
+}
+
+func (n *Node) loadRecords(ctx context.Context, x leader.LoadRecords) {
+	for i := 0; ; i++ {
+		items, _, err := n.store.List(ctx, store.Urgent, block.RecordPrefix(x.Block))
+		if err == nil {
+			pages, err := block.Pages(items)
+			if err != nil {
+				// What may run is not known, so the block is not granted.
+				n.log.Error("start records", "block", x.Block, "error", err)
+				time.Sleep(time.Second)
+				continue
+			}
+			n.leader <- leader.Records{Epoch: x.Epoch, Block: x.Block, Token: x.Token, Pages: pages}
+			return
+		}
+		if !store.Pause(ctx, i) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/scenario/node.go
@@ -0,0 +1,418 @@
+package scenario
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"slices"
+	"strings"
+
+	"swiftledge/internal/api"
+	"swiftledge/internal/block"
+	"swiftledge/internal/clock"
+	"swiftledge/internal/config"
+	"swiftledge/internal/election"
+	"swiftledge/internal/leader"
+	"swiftledge/internal/store"
+	"swiftledge/wire"
+)
+
+type simNode struct {
+	w           *world
+	i           int
+	name        string
+	gen         int
+	alive       bool
+	refused     bool    // by the state service alone
+	cut         bool    // from the other controllers
+	blind       bool    // from the workers
+	loseAnswers int     // of the state service, while the requests are carried out
+	lost        float64 // share of its transactions that are carried out at once and get no answer
+	late        float64 // share of its transactions that get no answer and are carried out seconds later
+	stale       bool    // its watch of the jobs hangs, all else is served
+	holdUntil   clock.Micros
+	frozenUntil clock.Micros // it stands still while its clocks run on
+	old         bool         // it goes by today's limits alone, as the version in production did
+	cfg         config.Config
+	elector     *election.Elector
+	leader      *leader.Leader
+	holder      *block.Holder
+	desk        *api.Desk
+	svc         *api.Service
+	epoch       uint64 // that it follows
+	link        *simLink
+	leaderRev   uint64
+	jobEpoch    uint64
+	jobRev      uint64
+}
+
+// Controllers.
+
+func (n *simNode) start() {
+	n.gen++
+	n.alive, n.frozenUntil = true, 0
+	n.cfg.Facts.State.Next = n.w.next
+	if n.old {
+		n.cfg.Facts.State.Next = nil
+	}
+	n.epoch, n.link, n.leaderRev, n.jobEpoch = 0, nil, 0, 0
+	ok := n.reaches
+	n.elector = election.New(election.Record{Node: n.name, Run: uint64(n.gen)*100 + uint64(n.i)}, clock.FromSeconds(n.cfg.Tuning.Election.TTLS))
+	n.leader = leader.New(&n.cfg, ok)
+	n.holder = block.FromConfig(&n.cfg, ok)
+	n.desk = api.NewDesk(&n.cfg, func() clock.Micros { return n.w.now })
+	go n.desk.Run(n.w.ctx)
+	n.svc = api.New(&n.cfg, n, func(_ context.Context, try int) bool { return try < 3 }, n.desk, ok, nil, func() clock.Micros { return n.w.now }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	n.look()
+}
+
+func (n *simNode) crash() {
+	n.alive = false
+	n.gen++
+	for _, o := range n.w.nodes {
+		if o.link != nil && (o == n || o.link.leader == n) {
+			l := o.link
+			n.w.after(100*clock.Millisecond, l.end)
+		}
+	}
+}
+
+// still runs f only if the process that asked is still the same.
+func (n *simNode) still(f func()) func() {
+	gen := n.gen
+	return func() {
+		n.awake(func() {
+			if n.alive && n.gen == gen {
+				f()
+			}
+		})
+	}
+}
+
+// awake runs f, or when the process goes on again if it stands still.
+func (n *simNode) awake(f func()) {
+	if n.frozenUntil > n.w.now {
+		n.w.after(n.frozenUntil-n.w.now, func() { n.awake(f) })
+		return
+	}
+	f()
+}
+
+// away says whether another controller's messages do not reach this one now.
+func (n *simNode) away(from *simNode) bool {
+	return n != from && (n.cut || from.cut || n.frozenUntil > n.w.now || n.w.apart(n.cfg.Zone, from.cfg.Zone))
+}
+
+func (n *simNode) tick() {
+	if !n.alive || n.frozenUntil > n.w.now {
+		return
+	}
+	if n.reaches() {
+		if n.leaderRev > 0 {
+			a := n.w.store.Since(leader.Key, n.leaderRev)
+			n.leaderRev = max(n.leaderRev, a.Revision)
+			for _, ev := range a.Events {
+				seen, ok, err := election.SeenEvent(ev)
+				must(err)
+				if ok {
+					n.electorStep(seen)
+				}
+			}
+		}
+		if n.jobEpoch > 0 && !n.w.store.Known(n.jobRev) {
+			epoch := n.jobEpoch
+			n.jobEpoch = 0
+			n.electorStep(election.Resign{Epoch: epoch})
+		}
+		if n.jobEpoch > 0 && !n.stale {
+			a := n.w.store.Since(leader.JobPrefix, n.jobRev)
+			n.jobRev = max(n.jobRev, a.Revision)
+			n.leaderStep(leader.Watched{Epoch: n.jobEpoch, Events: a.Events, Asked: n.w.now})
+		}
+	}
+	n.electorStep(election.Tick{})
+	n.leaderStep(leader.Tick{})
+	n.holderStep(block.Tick{})
+}
+
+func (n *simNode) electorStep(msg any) {
+	for _, fx := range n.elector.Step(n.w.now, msg) {
+		n.electorEffect(fx)
+	}
+}
+
+func (n *simNode) electorEffect(fx any) {
+	w := n.w
+	switch x := fx.(type) {
+	case election.GetLease:
+		sent := w.now
+		var id uint64
+		n.ask(func() { id = w.store.Grant(w.now, x.TTL) }, func(err error) {
+			n.electorStep(election.Leased{Lease: id, Sent: sent, Err: err})
+		})
+	case election.Claim:
+		t, err := x.Txn()
+		must(err)
+		n.txn(t, func(o store.Outcome, err error) {
+			n.electorStep(election.Claimed{Lease: x.Lease, Outcome: o, Err: err})
+		})
+	case election.Renew:
+		sent := w.now
+		found := false
+		n.ask(func() { found = w.store.Touch(w.now, x.Lease) }, func(err error) {
+			if err == nil && !found {
+				err = store.ErrMissing
+			}
+			n.electorStep(election.Renewed{Lease: x.Lease, Sent: sent, Err: err})
+		})
+	case election.Drop:
+		n.ask(func() { w.store.End(x.Lease) }, func(error) {})
+	case election.Look:
+		n.look()
+	case election.Lead:
+		w.release()
+		n.leaderStep(leader.Elected{Epoch: x.Epoch, Run: uint64(n.gen)})
+		n.leaderStep(leader.Authority{Until: x.Until})
+	case election.Extend:
+		n.leaderStep(leader.Authority{Until: x.Until})
+	case election.Depose:
+		n.jobEpoch = 0
+		n.leaderStep(leader.Deposed{})
+	case election.Follow:
+		n.desk.Post(api.Following{Epoch: x.Epoch, Node: x.Node})
+		n.epoch = x.Epoch
+		if x.Epoch > 0 {
+			n.follow(x.Epoch, x.Node)
+		}
+	}
+}
+
+func (n *simNode) holderStep(msg any) {
+	for _, fx := range n.holder.Step(n.w.now, msg) {
+		n.holderEffect(fx)
+	}
+}
+
+func (n *simNode) holderEffect(fx any) {
+	switch x := fx.(type) {
+	case block.Send:
+		if l := n.link; l != nil {
+			l.carry(l.leader, func() { l.leader.leaderStep(leader.Said{Node: n.name, Link: l, Up: &x.Up}) })
+		}
+	case block.Answer:
+		x.Tag.(func(block.Answer))(x)
+	case block.Orders:
+		n.direct(x)
+	case block.Inspect:
+		n.inspect(x)
+	case block.Record:
+		n.keep(x.Txn, func(o store.Outcome) any { return x.Settled(o) })
+	case block.Compact:
+		n.keep(x.Txn, func(o store.Outcome) any { return x.Settled(o) })
+	case block.Erase:
+		n.txn(x.Txn(), func(store.Outcome, error) {})
+	default:
+		panic(fmt.Sprintf("unknown effect %T", fx))
+	}
+}
+
+// keep writes start records and tells the holder what became of it.
+func (n *simNode) keep(txn func() (wire.Txn, error), settled func(store.Outcome) any) {
+	t, err := txn()
+	must(err)
+	for _, put := range t.Then {
+		if put.Put != "" && !slices.ContainsFunc(t.If, func(g wire.Guard) bool { return g.Key == put.Put }) {
+			n.w.breaks("unguarded: a late copy could put back %s", put.Put)
+		}
+	}
+	n.commit(t, false, func() bool { return true }, func(o store.Outcome, _ error) { n.holderStep(settled(o)) })
+}
+
+func (n *simNode) inspect(x block.Inspect) {
+	s := n.w.worker(x.Machine)
+	if s == nil || s.dead || n.blind || s.cut {
+		return
+	}
+	s.deliver(n.w, n, func() {
+		if s.dead || s.deaf {
+			return
+		}
+		r := s.Report()
+		s.deliver(n.w, n, n.still(func() { n.holderStep(block.Inspected{Inspect: x, R: r}) }))
+	})
+}
+
+func (n *simNode) direct(o block.Orders) {
+	w := n.w
+	s := w.worker(o.Machine)
+	done := block.Ordered{Orders: o}
+	if s == nil || s.dead || n.blind || (s.cut && s.holdUntil <= w.now) {
+		done.Status = block.NotSent
+		w.after(clock.Second, n.still(func() { n.holderStep(done) }))
+		return
+	}
+	settled := false
+	w.after(3*clock.Second, n.still(func() {
+		if !settled {
+			settled = true
+			n.holderStep(done)
+		}
+	}))
+	s.again(w, func() {
+		if !s.dead && !s.deaf {
+			s.Orders(w.now, o.Body)
+		}
+	})
+	s.deliver(w, n, func() {
+		if s.dead || s.deaf {
+			return
+		}
+		status, r, changed := s.Orders(w.now, o.Body)
+		if changed {
+			s.changed(w)
+		}
+		s.deliver(w, n, n.still(func() {
+			if !settled {
+				settled = true
+				done.Status, done.R = status, r
+				n.holderStep(done)
+			}
+		}))
+	})
+}
+
+func (n *simNode) leaderStep(msg any) {
+	for _, fx := range n.leader.Step(n.w.now, msg) {
+		n.leaderEffect(fx)
+	}
+}
+
+var errTrouble = errors.New("trouble")
+
+func (n *simNode) leaderEffect(fx any) {
+	w := n.w
+	during := func(epoch uint64) func() bool { return func() bool { return n.elector.Epoch() == epoch } }
+	// The cloud answers within a quarter of a second, also a leader that is none any more.
+	cloud := func(f, fails func()) {
+		w.after(100*clock.Millisecond, func() {
+			switch {
+			case w.apart(n.cfg.Zone, ""):
+			case w.cloudDown:
+				n.still(fails)()
+			default:
+				n.still(f)()
+			}
+		})
+	}
+	unheard := func() {}
+	switch x := fx.(type) {
+	case leader.Tell:
+		l := x.Link.(*simLink)
+		l.carry(l.follower, func() {
+			l.follower.desk.Post(api.Met{})
+			l.leader.desk.Post(api.Met{})
+			l.follower.desk.Post(&x.Down)
+			l.follower.holderStep(&x.Down)
+		})
+	case leader.Load:
+		n.load(x.Epoch)
+	case leader.LoadRecords:
+		n.loadRecords(x)
+	case leader.Commit:
+		if !slices.Contains(x.Txn.If, wire.Guard{Key: leader.Key, Version: x.Epoch}) {
+			w.breaks("unguarded: a leader's write is not bound to its epoch")
+		}
+		n.commit(x.Txn, false, during(x.Epoch), func(o store.Outcome, err error) {
+			n.leaderStep(leader.Committed{Epoch: x.Epoch, Tag: x.Tag, Outcome: o, Err: err})
+		})
+	case leader.ReadKey:
+		n.readKey(x)
+	case leader.Rent:
+		cloud(func() {
+			names, ok := w.cloud.Rent(w.now, x.Rental)
+			m := leader.Rented{Epoch: x.Epoch, Request: x.Rental.Request, Machines: names, NoCapacity: !ok}
+			if !ok {
+				m.Err = errors.New("no capacity")
+			}
+			n.leaderStep(m)
+		}, func() {
+			n.leaderStep(leader.Rented{Epoch: x.Epoch, Request: x.Rental.Request, Err: errTrouble})
+		})
+	case leader.Delete:
+		cloud(func() {
+			w.cloud.Delete(x.Machines)
+			n.leaderStep(leader.Deleted{Epoch: x.Epoch, Machines: x.Machines})
+		}, func() {
+			n.leaderStep(leader.Deleted{Epoch: x.Epoch, Machines: x.Machines, Err: errTrouble})
+		})
+	case leader.List:
+		cloud(func() { n.leaderStep(leader.Listed{Machines: w.cloud.List(w.now)}) }, unheard)
+	case leader.ReadCatalog:
+		cloud(func() { n.leaderStep(leader.CatalogRead{Types: w.cloud.Types}) }, unheard)
+	case leader.Resign:
+		w.after(1, n.still(func() { n.electorStep(election.Resign{Epoch: n.elector.Epoch()}) }))
+	case leader.Log:
+	default:
+		panic(fmt.Sprintf("unknown effect %T", fx))
+	}
+}
+
+func (n *simNode) load(epoch uint64) {
+	var items []wire.Item
+	var rev uint64
+	asked := n.w.now
+	n.ask(func() {
+		items = nil
+		all, r := n.w.store.List("")
+		rev = r
+		for _, it := range all {
+			if !strings.HasPrefix(it.Key, "run/") && !strings.HasPrefix(it.Key, leader.EndPrefix) {
+				items = append(items, it)
+			}
+		}
+	}, func(err error) {
+		if n.elector.Epoch() != epoch {
+			return
+		}
+		if err != nil {
+			n.w.after(100*clock.Millisecond, n.still(func() { n.load(epoch) }))
+			return
+		}
+		n.jobEpoch, n.jobRev = epoch, rev
+		n.leaderStep(leader.Loaded{Epoch: epoch, Items: items, Revision: rev, Wall: n.w.now, Asked: asked})
+	})
+}
+
+func (n *simNode) loadRecords(x leader.LoadRecords) {
+	var items []wire.Item
+	n.ask(func() { items, _ = n.w.store.List(block.RecordPrefix(x.Block)) }, func(err error) {
+		if n.elector.Epoch() != x.Epoch {
+			return
+		}
+		if err != nil {
+			n.w.after(100*clock.Millisecond, n.still(func() { n.loadRecords(x) }))
+			return
+		}
+		pages, err := block.Pages(items)
+		must(err)
+		n.leaderStep(leader.Records{Epoch: x.Epoch, Block: x.Block, Token: x.Token, Pages: pages})
+	})
+}
+
+func (n *simNode) readKey(x leader.ReadKey) {
+	var it wire.Item
+	var ok bool
+	n.ask(func() { it, ok = n.w.store.Get(x.Key) }, func(err error) {
+		if n.elector.Epoch() != x.Epoch {
+			return
+		}
+		if err != nil {
+			n.w.after(100*clock.Millisecond, n.still(func() { n.readKey(x) }))
+			return
+		}
+		it.Key = x.Key
+		n.leaderStep(leader.Read{Epoch: x.Epoch, Tag: x.Tag, Item: it, Found: ok})
+	})
+}
