--- a/internal/compat/compat_test.go
+++ b/internal/compat/compat_test.go
@@ -1,3 +1,5 @@
+//lint:file-ignore U1000 msgpack finds the fields _msgpack by their name
+
 // Package compat holds tests alone: that this version reads what the version in
 // production writes, and that version what this one writes.
 package compat
--- a/internal/compat/frozen_test.go
+++ b/internal/compat/frozen_test.go
@@ -1,3 +1,5 @@
+//lint:file-ignore U1000 msgpack finds the fields _msgpack by their name
+
 package compat
 
 // The forms as the version in production has them (commit in deploy/service.toml). They are
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -265,10 +265,6 @@
 // asked of one option before its answers are seen.
 const MostAtOnce, mostARound = 50, 100
 
-func (o Option) same(x Option) bool {
-	return x.Type.Name == o.Type.Name && x.Zone == o.Zone && x.Spot == o.Spot
-}
-
 func ordered(orders []Order, o Option) (n int) {
 	for _, x := range orders {
 		if x.Key() == o.Key() {
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -1,3 +1,5 @@
+//lint:file-ignore U1000 msgpack finds the fields _msgpack by their name
+
 // Package peer is what controllers say to each other: msgpack over plain TCP,
 // followers dial the leader. A link that breaks is never resumed: the leader
 // grants the blocks anew, under new tokens. Messages are arrays of their fields, and
