--- a/internal/api/answers_test.go
+++ b/internal/api/answers_test.go
@@ -142,8 +142,8 @@
 	cfg.Facts.Teams = []config.Team{{Name: "red", CPUs: 8, CPUsMax: 8}}
 	cfg.Facts.State.ValueKB = 4
 	now := func() clock.Micros { return 0 }
-	desk := NewDesk(cfg, now)
-	go desk.Run(t.Context())
-	desk.Post(learnt{[]wire.MachineType{{Name: "small", CPUs: 4, MemoryGB: 8, ZoneNames: []string{"a"}}}})
-	return New(cfg, st, func(context.Context, int) bool { return true }, desk, func() bool { return true }, nil, now, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	directory := NewDirectory(cfg, now)
+	go directory.Run(t.Context())
+	directory.Post(typesRead{[]wire.MachineType{{Name: "small", CPUs: 4, MemoryGB: 8, ZoneNames: []string{"a"}}}})
+	return New(cfg, st, func(context.Context, int) bool { return true }, directory, func() bool { return true }, nil, now, slog.New(slog.NewTextHandler(io.Discard, nil)))
 }
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -25,22 +25,22 @@
 
 // Service is the HTTP side of a node.
 type Service struct {
-	cfg     *config.Config
-	store   Store
-	pause   func(ctx context.Context, n int) bool // before try n+1
-	desk    *Desk
-	storeOK func() bool
-	report  func(*wire.Report) block.Answer
-	wall    func() clock.Micros // time of day
-	log     *slog.Logger
-	form    formChecker
-	reports *admission
-	app     *fiber.App
+	cfg       *config.Config
+	store     Store
+	pause     func(ctx context.Context, n int) bool // before try n+1
+	directory *Directory
+	storeOK   func() bool
+	report    func(*wire.Report) block.Answer
+	wall      func() clock.Micros // time of day
+	log       *slog.Logger
+	form      formChecker
+	reports   *admission
+	app       *fiber.App
 }
 
 // New makes the service; report answers a worker.
-func New(cfg *config.Config, s Store, pause func(context.Context, int) bool, d *Desk, storeOK func() bool, report func(*wire.Report) block.Answer, wall func() clock.Micros, log *slog.Logger) *Service {
-	return &Service{cfg: cfg, store: s, pause: pause, desk: d, storeOK: storeOK, report: report, wall: wall, log: log, form: newFormChecker(), reports: newAdmission()}
+func New(cfg *config.Config, s Store, pause func(context.Context, int) bool, d *Directory, storeOK func() bool, report func(*wire.Report) block.Answer, wall func() clock.Micros, log *slog.Logger) *Service {
+	return &Service{cfg: cfg, store: s, pause: pause, directory: d, storeOK: storeOK, report: report, wall: wall, log: log, form: newFormChecker(), reports: newAdmission()}
 }
 
 // Serve answers on l until it fails.
@@ -109,7 +109,7 @@
 func (s *Service) submit(c fiber.Ctx) error { return s.reply(c, s.Submit(c.Body())) }
 
 // ref is copied: fiber's strings live only as long as the request, and the
-// desk keeps references to jobs for longer.
+// directory keeps references to jobs for longer.
 func ref(c fiber.Ctx) string { return strings.Clone(c.Params("ref")) }
 
 func (s *Service) status(c fiber.Ctx) error { return s.reply(c, s.Look(ref(c))) }
@@ -131,7 +131,7 @@
 	if s.storeOK() {
 		return true
 	}
-	v := s.desk.Look("")
+	v := s.directory.Look("")
 	return !v.LeaderOK && !v.Alone
 }
 
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -23,11 +23,11 @@
 func TestWorkersLeaveConnectionsToUsers(t *testing.T) {
 	cfg := &config.Config{}
 	cfg.Facts.Quota.MaxSockets = 100
-	desk := NewDesk(cfg, func() clock.Micros { return 0 })
+	directory := NewDirectory(cfg, func() clock.Micros { return 0 })
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
-	go desk.Run(ctx)
-	s := New(cfg, nil, nil, desk, func() bool { return true }, func(*wire.Report) block.Answer {
+	go directory.Run(ctx)
+	s := New(cfg, nil, nil, directory, func() bool { return true }, func(*wire.Report) block.Answer {
 		return block.Answer{Status: 200}
 	}, nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -82,9 +82,9 @@
 func TestRefusedWorkersConnectionIsClosed(t *testing.T) {
 	cfg := &config.Config{}
 	cfg.Facts.Quota.MaxSockets = 100
-	desk := NewDesk(cfg, func() clock.Micros { return 0 })
+	directory := NewDirectory(cfg, func() clock.Micros { return 0 })
 	for _, status := range []int{200, 421, 503} {
-		s := New(cfg, nil, nil, desk, func() bool { return true }, func(*wire.Report) block.Answer {
+		s := New(cfg, nil, nil, directory, func() bool { return true }, func(*wire.Report) block.Answer {
 			return block.Answer{Status: status}
 		}, nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/internal/api/desk.go
+++ b/internal/api/directory.go
@@ -16,9 +16,9 @@
 	Node  string
 }
 
-// Desk is the actor that keeps what user requests need at hand: the catalog,
+// Directory is the actor that keeps what user requests need at hand: the catalog,
 // counts for display, final states (which never change), and the leader's word.
-type Desk struct {
+type Directory struct {
 	cfg *config.Config
 	now func() clock.Micros
 	box chan stamped
@@ -35,14 +35,14 @@
 	end leader.EndRecord
 }
 
-type ask struct {
+type viewRequest struct {
 	ref    string
 	answer chan View
 }
 
-type learnt struct{ types []wire.MachineType }
+type typesRead struct{ types []wire.MachineType }
 
-// View is what the desk knows, at one moment, of one job and in general.
+// View is what the directory knows, at one moment, of one job and in general.
 type View struct {
 	Epoch    uint64
 	Types    []wire.MachineType
@@ -52,8 +52,8 @@
 	Alone    bool // no other controller has been reached for a while
 }
 
-// Met says that another controller was reached, whatever it said.
-type Met struct{}
+// PeerReached says that another controller was reached, whatever it said.
+type PeerReached struct{}
 
 // aloneAfter is how long without any other controller makes a node alone.
 const aloneAfter = 5 * clock.Second
@@ -61,26 +61,26 @@
 // maxEnds bounds the final states kept at hand; the store has them all.
 const maxEnds = 5000
 
-// NewDesk makes a desk; Run serves it.
-func NewDesk(cfg *config.Config, now func() clock.Micros) *Desk {
-	return &Desk{cfg: cfg, now: now, box: make(chan stamped, 1024)}
+// NewDirectory makes a directory; Run serves it.
+func NewDirectory(cfg *config.Config, now func() clock.Micros) *Directory {
+	return &Directory{cfg: cfg, now: now, box: make(chan stamped, 1024)}
 }
 
-// Post takes *peer.Down, Following and Met.
-func (d *Desk) Post(msg any) { d.box <- stamped{d.now(), msg} }
+// Post takes *peer.Down, Following and PeerReached.
+func (d *Directory) Post(msg any) { d.box <- stamped{d.now(), msg} }
 
 // Look asks for a View.
-func (d *Desk) Look(ref string) View {
-	q := ask{ref, make(chan View, 1)}
+func (d *Directory) Look(ref string) View {
+	q := viewRequest{ref, make(chan View, 1)}
 	d.Post(q)
 	return <-q.answer
 }
 
 // Epoch is the leader's, as far as known.
-func (d *Desk) Epoch() uint64 { return d.Look("").Epoch }
+func (d *Directory) Epoch() uint64 { return d.Look("").Epoch }
 
 // Run is the actor.
-func (d *Desk) Run(ctx context.Context) {
+func (d *Directory) Run(ctx context.Context) {
 	v := View{}
 	var leaderAt, metAt clock.Micros
 	counts := map[string]peer.TaskCount{}
@@ -93,7 +93,7 @@
 		case s = <-d.box:
 		}
 		switch m := s.msg.(type) {
-		case Met:
+		case PeerReached:
 			metAt = s.at
 		case Following:
 			v.Epoch = m.Epoch
@@ -108,7 +108,7 @@
 			for _, c := range m.Counts {
 				counts[c.Job] = c
 			}
-		case learnt:
+		case typesRead:
 			v.Types = m.types
 		case ended:
 			if len(ends) >= maxEnds {
@@ -116,7 +116,7 @@
 			}
 			ends[m.ref] = m.end
 			delete(counts, m.ref)
-		case ask:
+		case viewRequest:
 			out := v
 			out.Count = counts[m.ref]
 			if e, ok := ends[m.ref]; ok {
--- a/internal/api/jobs.go
+++ b/internal/api/jobs.go
@@ -88,7 +88,7 @@
 		return s.known(ref, refuse(400, why))
 	}
 	job := form.Job()
-	v := s.desk.Look(job.Ref)
+	v := s.directory.Look(job.Ref)
 	if v.End != nil {
 		return Result{Code: 200, Status: endStatus(job.Ref, *v.End)}
 	}
@@ -151,7 +151,7 @@
 	if err != nil || json.Unmarshal(it.Value, &c) != nil {
 		return nil
 	}
-	s.desk.Post(learnt{c.Types})
+	s.directory.Post(typesRead{c.Types})
 	return c.Types
 }
 
@@ -190,7 +190,7 @@
 	if !s.form.ref.MatchString(ref) {
 		return refuse(404, "no such job")
 	}
-	v := s.desk.Look(ref)
+	v := s.directory.Look(ref)
 	if v.End != nil {
 		return Result{Code: 200, Status: endStatus(ref, *v.End)}
 	}
@@ -231,7 +231,7 @@
 	if err := json.Unmarshal(it.Value, &e); err != nil {
 		return Result{}, err
 	}
-	s.desk.Post(ended{ref, e})
+	s.directory.Post(ended{ref, e})
 	return Result{Code: 200, Status: endStatus(ref, e)}, nil
 }
 
@@ -273,6 +273,6 @@
 	if err != nil || !o.OK {
 		return Result{}, err
 	}
-	s.desk.Post(ended{ref, end})
+	s.directory.Post(ended{ref, end})
 	return Result{Code: 200, Status: endStatus(ref, end)}, nil
 }
--- a/internal/api/report_test.go
+++ b/internal/api/report_test.go
@@ -79,9 +79,9 @@
 	}()
 	ctx, stop := context.WithCancel(context.Background())
 	tb.Cleanup(stop)
-	desk := NewDesk(cfg, func() clock.Micros { return 0 })
-	go desk.Run(ctx)
-	s := New(cfg, nil, nil, desk, func() bool { return true }, func(r *wire.Report) block.Answer {
+	directory := NewDirectory(cfg, func() clock.Micros { return 0 })
+	go directory.Run(ctx)
+	s := New(cfg, nil, nil, directory, func() bool { return true }, func(r *wire.Report) block.Answer {
 		ch := make(chan block.Answer, 1)
 		box <- block.Report{Tag: ch, R: r}
 		return <-ch
--- a/internal/block/compact.go
+++ b/internal/block/compact.go
@@ -59,7 +59,7 @@
 // compact looks for pages of one grant, this or an earlier one, whose value is mostly waste,
 // and puts what is left of them on one page. It does not hold up the cycles: the pages
 // that it takes are theirs no more.
-func (h *Holder) compact(now clock.Micros, b *blk) {
+func (h *Holder) compact(now clock.Micros, b *heldBlock) {
 	if b.compacting != nil || now-b.compactedAt < compactEvery || now >= b.expires {
 		return
 	}
@@ -77,7 +77,7 @@
 	token := pages[0].token
 	pager := peer.NewPager(token, h.p.ValueBytes)
 	var from []*page
-	var recs []*rec
+	var recs []*taskAttempt
 	var gone []string
 	waste := 0
 	for _, p := range pages {
--- a/internal/block/cycle.go
+++ b/internal/block/cycle.go
@@ -17,17 +17,17 @@
 type page struct {
 	key     string
 	version uint64
-	recs    []*rec   // whose attempts are not proven gone
-	fixed   bool     // never written again
-	token   uint64   // of the grant whose attempts it names
-	stored  int      // how many records its stored value has
-	also    []string // keys that may hold its records, too
-	busy    bool     // it is being written in place of others
+	recs    []*taskAttempt // whose attempts are not proven gone
+	fixed   bool           // never written again
+	token   uint64         // of the grant whose attempts it names
+	stored  int            // how many records its stored value has
+	also    []string       // keys that may hold its records, too
+	busy    bool           // it is being written in place of others
 	empty   clock.Micros
 }
 
 // newPage is a page of this grant's for records of that or an earlier token.
-func (b *blk) newPage(token uint64) *page {
+func (b *heldBlock) newPage(token uint64) *page {
 	b.pageSeq++
 	return &page{key: RecordPrefix(b.id) + strconv.FormatUint(b.token, 10) + "-" + strconv.Itoa(b.pageSeq), token: token}
 }
@@ -42,12 +42,12 @@
 	return true
 }
 
-func (p *page) add(r *rec) {
+func (p *page) add(r *taskAttempt) {
 	r.page, r.place = p, len(p.recs)
 	p.recs = append(p.recs, r)
 }
 
-func (p *page) drop(r *rec) {
+func (p *page) drop(r *taskAttempt) {
 	last := p.recs[len(p.recs)-1]
 	p.recs[r.place], last.place = last, r.place
 	p.recs = p.recs[:len(p.recs)-1]
@@ -58,13 +58,13 @@
 type cycleWrite struct {
 	seq   int
 	pages []*page
-	recs  []*rec
+	recs  []*taskAttempt
 }
 
 // cycle places offered tasks by auctions, and writes the start records of what
 // found a place. One write at a time: what comes meanwhile gathers with the
 // leader, so the state service's limit sets the length of the cycles.
-func (h *Holder) cycle(now clock.Micros, b *blk, offers []peer.Offer) {
+func (h *Holder) cycle(now clock.Micros, b *heldBlock, offers []peer.Offer) {
 	var ms []*placement.Machine
 	if b.writing == nil && now < b.expires {
 		for _, m := range b.order {
@@ -100,7 +100,7 @@
 		m := b.machines[mt.Machine.Name]
 		m.free = nil // the auction has taken from it
 		b.counter++
-		r := &rec{task: peer.Task{Job: mt.Group.Key, Index: mt.Index}, attempt: b.token<<peer.AttemptBits | b.counter, m: m,
+		r := &taskAttempt{task: peer.Task{Job: mt.Group.Key, Index: mt.Index}, attempt: b.token<<peer.AttemptBits | b.counter, m: m,
 			group: specs[mt.Group], session: m.session}
 		if !w.add(r) {
 			continue // more than one transaction holds: another cycle's
@@ -121,13 +121,13 @@
 
 // avoided are the machines where another replica of a service had better not go: those
 // that have one, and more so those where one failed.
-func (b *blk) avoided(job string) map[string]int {
+func (b *heldBlock) avoided(job string) map[string]int {
 	out := map[string]int{}
 	for _, m := range b.order {
 		switch {
 		case slices.Contains(m.failed, job):
 			out[m.name] = 2
-		case slices.ContainsFunc(m.recs, func(r *rec) bool { return r.task.Job == job && r.state != exited }):
+		case slices.ContainsFunc(m.recs, func(r *taskAttempt) bool { return r.task.Job == job && r.state != exited }):
 			out[m.name] = 1
 		}
 	}
@@ -143,7 +143,7 @@
 // cycleWriter fills pages with a cycle's records, those with most room first.
 type cycleWriter struct {
 	h      *Holder
-	b      *blk
+	b      *heldBlock
 	usable []*page // emptiest first
 	cw     *cycleWrite
 	out    []PageWrite
@@ -151,7 +151,7 @@
 	added  int // to the page that is open
 }
 
-func newCycleWriter(h *Holder, b *blk) *cycleWriter {
+func newCycleWriter(h *Holder, b *heldBlock) *cycleWriter {
 	w := &cycleWriter{h: h, b: b, cw: &cycleWrite{seq: b.writeSeq + 1}}
 	for _, p := range b.pages {
 		if !p.fixed && !p.busy {
@@ -163,7 +163,7 @@
 }
 
 // add finds a page for a record; false when the transaction holds no more.
-func (w *cycleWriter) add(r *rec) bool {
+func (w *cycleWriter) add(r *taskAttempt) bool {
 	for {
 		if w.pager != nil {
 			if w.pager.Add(r.group, r.task.Index, r.attempt, r.m.name) {
@@ -227,7 +227,7 @@
 }
 
 // answeredFor is the block whose write of start records has ended, if it still is ours.
-func (h *Holder) answeredFor(id int, token uint64, fenced bool) *blk {
+func (h *Holder) answeredFor(id int, token uint64, fenced bool) *heldBlock {
 	b := h.blocks[id]
 	if b == nil || b.token != token {
 		return nil
@@ -289,7 +289,7 @@
 }
 
 // tidy erases pages that name no attempt any more.
-func (h *Holder) tidy(now clock.Micros, b *blk) {
+func (h *Holder) tidy(now clock.Micros, b *heldBlock) {
 	b.pages = slices.DeleteFunc(b.pages, func(p *page) bool {
 		switch {
 		case len(p.recs) > 0 || p.busy || b.writing != nil && slices.Contains(b.writing.pages, p):
--- a/internal/block/dialogue.go
+++ b/internal/block/dialogue.go
@@ -60,7 +60,7 @@
 // fence shows a machine our token without waiting for its report, which an older
 // holder that is cut off from the others may go on answering until its grant ends.
 // That holder turns the worker away as soon as it reports the newer token.
-func (h *Holder) fence(now clock.Micros, b *blk, m *machine) {
+func (h *Holder) fence(now clock.Micros, b *heldBlock, m *machine) {
 	if m.address == "" || m.gone {
 		return
 	}
@@ -89,7 +89,7 @@
 	h.direct(b, m, []wire.Command{})
 }
 
-func (r *rec) kill() wire.Command {
+func (r *taskAttempt) kill() wire.Command {
 	grace := 0.0
 	if r.stop == 1 {
 		grace = graceFor(r.group.SaveS)
@@ -97,7 +97,7 @@
 	return wire.Command{Op: wire.Kill, Task: TaskName(r.task), Attempt: r.attempt, GraceS: &grace}
 }
 
-func (r *rec) run() wire.Command {
+func (r *taskAttempt) run() wire.Command {
 	return wire.Command{Op: wire.Run, Task: TaskName(r.task), Attempt: r.attempt}
 }
 
@@ -110,7 +110,7 @@
 // reachable says whether a direct command can be sent.
 func (m *machine) reachable() bool { return m.address != "" && m.session > 0 }
 
-func (h *Holder) direct(b *blk, m *machine, cmds []wire.Command) {
+func (h *Holder) direct(b *heldBlock, m *machine, cmds []wire.Command) {
 	if !m.reachable() {
 		return // the next report's answer carries it
 	}
@@ -143,13 +143,13 @@
 		}
 	}
 	if a.R == nil {
-		if m.unheard++; m.unheard >= deafAfter {
+		if m.unanswered++; m.unanswered >= deafAfter {
 			h.deafen(now, b, m)
 		}
 		return
 	}
 	// It hears: what it said proves that a command came through.
-	m.unheard = 0
+	m.unanswered = 0
 	if m.deaf > 0 {
 		m.deaf = 0
 		b.mark(m)
@@ -164,7 +164,7 @@
 // deafen notes that a machine does not hear us, though its reports may come: it
 // gets no work until it has answered a command. Its tasks end with its lease; the
 // next session that it reports proves it.
-func (h *Holder) deafen(now clock.Micros, b *blk, m *machine) {
+func (h *Holder) deafen(now clock.Micros, b *heldBlock, m *machine) {
 	if m.deaf == 0 {
 		m.deaf = now
 		b.mark(m)
@@ -217,7 +217,7 @@
 
 // observe takes in a worker's report and gives the commands to answer it with.
 // beat tells a report of the worker's own from the answer to a direct command.
-func (h *Holder) observe(now clock.Micros, b *blk, m *machine, r *wire.Report, beat bool) []wire.Command {
+func (h *Holder) observe(now clock.Micros, b *heldBlock, m *machine, r *wire.Report, beat bool) []wire.Command {
 	cmds := []wire.Command{}
 	if r.Session < m.session || (r.Session == m.session && r.Seq <= m.seq) {
 		return cmds // older than what is known: it proves nothing
@@ -296,7 +296,7 @@
 }
 
 // absent says whether an attempt that a current report does not list is gone.
-func (h *Holder) absent(m *machine, rc *rec, beat bool) bool {
+func (h *Holder) absent(m *machine, rc *taskAttempt, beat bool) bool {
 	switch {
 	case rc.inherited && rc.state == ordered:
 		return true // ordered under an older token, which this machine obeys no more
@@ -314,7 +314,7 @@
 	return true
 }
 
-func (h *Holder) present(now clock.Micros, b *blk, m *machine, rc *rec, t *wire.TaskReport, cmds []wire.Command) []wire.Command {
+func (h *Holder) present(now clock.Micros, b *heldBlock, m *machine, rc *taskAttempt, t *wire.TaskReport, cmds []wire.Command) []wire.Command {
 	if t.State != wire.Exited {
 		if rc.state != shown {
 			rc.state = shown
@@ -375,7 +375,7 @@
 // exits at once then, its result being kept, which harms nobody unless its job was
 // cancelled; any other stays listed until the machine has shown a higher token
 // than the order's, which it obeys no more.
-func (r *rec) forgettable() bool {
+func (r *taskAttempt) forgettable() bool {
 	return r.stored && r.inflight == 0 && (!r.direct || r.done && r.stop == 0)
 }
 
--- a/internal/block/grant.go
+++ b/internal/block/grant.go
@@ -13,8 +13,8 @@
 	if old != nil && old.token >= g.Token {
 		return
 	}
-	b := &blk{id: g.Block, token: g.Token, stamp: g.Stamp, since: now, machines: map[string]*machine{},
-		byTask: map[peer.Task][]*rec{}, attempts: map[peer.Task]int{}}
+	b := &heldBlock{id: g.Block, token: g.Token, stamp: g.Stamp, since: now, machines: map[string]*machine{},
+		byTask: map[peer.Task][]*taskAttempt{}, attempts: map[peer.Task]int{}}
 	if old != nil {
 		// What is known of the machines stays useful; what may run on them is read anew from the records.
 		for _, m := range old.order {
@@ -23,7 +23,7 @@
 			n.session, n.seq, n.beatSession, n.beatSeq = m.session, m.seq, m.beatSession, m.beatSeq
 			n.began = m.began
 			n.heard, n.answered, n.notice, n.gone = m.heard, m.answered, m.notice, m.gone
-			n.deaf, n.unheard, n.images, n.failed = m.deaf, m.unheard, m.images, m.failed
+			n.deaf, n.unanswered, n.images, n.failed = m.deaf, m.unanswered, m.images, m.failed
 		}
 		b.expires = old.expires
 	}
@@ -34,7 +34,7 @@
 			m.address = r.Address
 		}
 	}
-	var over []*rec
+	var over []*taskAttempt
 	for _, key := range slices.Sorted(maps.Keys(g.Pages)) {
 		src := g.Pages[key]
 		pg := &page{key: key, fixed: true, token: src.Token}
@@ -48,7 +48,7 @@
 				if m.find(r.Attempt) != nil {
 					continue
 				}
-				rc := &rec{task: peer.Task{Job: grp.Job, Index: r.Index}, attempt: r.Attempt, m: m, group: grp, state: ordered, inherited: true}
+				rc := &taskAttempt{task: peer.Task{Job: grp.Job, Index: r.Index}, attempt: r.Attempt, m: m, group: grp, state: ordered, inherited: true}
 				b.add(rc)
 				pg.add(rc)
 				if !m.known || m.gone {
--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -17,7 +17,7 @@
 	epoch   uint64
 	linked  bool
 	slow    bool // the link's messages take seconds
-	blocks  map[int]*blk
+	blocks  map[int]*heldBlock
 	holders []string
 	types   map[string]wire.MachineType
 	book    *placement.Book
@@ -35,7 +35,7 @@
 // New makes a holder without blocks. storeOK is told to the others, who judge
 // by it whether the state service fails one node or all.
 func New(p Params, t placement.Params, storeOK func() bool) *Holder {
-	return &Holder{p: p, tuning: t, blocks: map[int]*blk{}, types: map[string]wire.MachineType{},
+	return &Holder{p: p, tuning: t, blocks: map[int]*heldBlock{}, types: map[string]wire.MachineType{},
 		book: placement.NewBook(), sentAt: map[uint64]clock.Micros{}, storeOK: storeOK}
 }
 
@@ -128,7 +128,7 @@
 	}
 }
 
-func (h *Holder) orders(now clock.Micros, b *blk, o peer.BlockOrders) {
+func (h *Holder) orders(now clock.Micros, b *heldBlock, o peer.BlockOrders) {
 	for _, name := range o.Use {
 		m := b.machine(name)
 		m.known = true
@@ -204,7 +204,7 @@
 
 // fit says whether a machine can be given tasks now. One that only answers commands, while
 // none of its reports comes, has a lease that runs out whatever it answers.
-func (h *Holder) fit(now clock.Micros, b *blk, m *machine) bool {
+func (h *Holder) fit(now clock.Micros, b *heldBlock, m *machine) bool {
 	fresh := 3 * h.p.ReportTime
 	return now-max(m.answered, b.since) < fresh && m.shown && m.known && !m.drain && !m.notice && !m.gone && !m.lost && m.deaf == 0 && now-m.heard < fresh
 }
@@ -233,12 +233,12 @@
 }
 
 // askAnew tells the leader that the block needs a new grant.
-func (h *Holder) askAnew(b *blk) {
+func (h *Holder) askAnew(b *heldBlock) {
 	h.emit(Send{peer.Up{Epoch: h.epoch, Updates: []peer.BlockUpdate{{Block: b.id, Token: b.token, Lost: true}}}})
 }
 
 // void gives up a block whose machines or key show a newer token.
-func (h *Holder) void(b *blk) {
+func (h *Holder) void(b *heldBlock) {
 	h.askAnew(b)
 	delete(h.blocks, b.id)
 }
--- a/internal/block/holder_test.go
+++ b/internal/block/holder_test.go
@@ -166,7 +166,7 @@
 	r.Session = 2
 	h.Step(in(35), Ordered{Orders: Orders{Block: 0, Machine: "m2", Body: wire.Orders{Token: 50, Session: 2}}, Status: 200, R: r})
 	m := h.blocks[0].machines["m2"]
-	h.blocks[0].add(&rec{task: task, attempt: 50<<peer.AttemptBits | 1, m: m, group: &peer.RecordGroup{Job: task.Job}, state: shown, session: 2})
+	h.blocks[0].add(&taskAttempt{task: task, attempt: 50<<peer.AttemptBits | 1, m: m, group: &peer.RecordGroup{Job: task.Job}, state: shown, session: 2})
 	if h.Step(in(54), Tick{}); len(m.recs) != 1 {
 		t.Error("taken for gone while the new session's lease may hold")
 	}
@@ -216,7 +216,7 @@
 	b := h.blocks[0]
 	attempt := uint64(50<<peer.AttemptBits | 1)
 	other := peer.Task{Job: "j-000002"}
-	b.add(&rec{task: other, attempt: attempt, m: b.machines["m1"], group: &peer.RecordGroup{Job: other.Job}, state: ordered, session: 1, direct: true, stop: 2})
+	b.add(&taskAttempt{task: other, attempt: attempt, m: b.machines["m1"], group: &peer.RecordGroup{Job: other.Job}, state: ordered, session: 1, direct: true, stop: 2})
 	exit := wire.TaskReport{Task: TaskName(other), Attempt: attempt, State: wire.Exited, Cause: wire.CauseStopped}
 	if a := answerOf(t, h.Step(now, beat("m1", 2, 50, exit))); len(a.Body.Commands) != 0 {
 		t.Errorf("commands %v while a copy of its order would be obeyed", a.Body.Commands)
@@ -233,7 +233,7 @@
 	h := holding(t)
 	b := h.blocks[0]
 	for i := range lingering + 1 {
-		b.add(&rec{task: peer.Task{Job: "j-000002", Index: i}, attempt: 50<<peer.AttemptBits | uint64(i+1), m: b.machines["m1"],
+		b.add(&taskAttempt{task: peer.Task{Job: "j-000002", Index: i}, attempt: 50<<peer.AttemptBits | uint64(i+1), m: b.machines["m1"],
 			group: &peer.RecordGroup{Job: "j-000002"}, state: exited, direct: true, told: true, stored: true})
 	}
 	asked := 0
@@ -570,7 +570,7 @@
 	b := h.blocks[0]
 	m := b.machines["m1"]
 	order := Orders{Block: 0, Machine: "m1", Body: wire.Orders{Token: 50, Session: 1}}
-	r := &rec{task: peer.Task{Job: "j-000007"}, attempt: 50<<peer.AttemptBits | 9, m: m, group: &peer.RecordGroup{Job: "j-000007"}, state: ordered, session: 1, direct: true, inflight: 1, stop: 2}
+	r := &taskAttempt{task: peer.Task{Job: "j-000007"}, attempt: 50<<peer.AttemptBits | 9, m: m, group: &peer.RecordGroup{Job: "j-000007"}, state: ordered, session: 1, direct: true, inflight: 1, stop: 2}
 	b.add(r)
 	order.Body.Commands = []wire.Command{r.run()}
 	h.Step(now, Ordered{Orders: order})
--- a/internal/block/state.go
+++ b/internal/block/state.go
@@ -9,24 +9,24 @@
 	"swiftledge/internal/placement"
 )
 
-type recState int
+type attemptState int
 
 const (
-	recording recState = iota // the start record is being written: never ordered yet
-	ordered                   // a run command may have been sent
-	shown                     // a report under our token has shown the attempt
+	recording attemptState = iota // the start record is being written: never ordered yet
+	ordered                       // a run command may have been sent
+	shown                         // a report under our token has shown the attempt
 	exited
 )
 
-// rec is one attempt that may be on a machine.
-type rec struct {
+// taskAttempt is one attempt that may be on a machine.
+type taskAttempt struct {
 	task      peer.Task
 	attempt   uint64
 	m         *machine
 	group     *peer.RecordGroup // what the task takes; Starts unused
 	page      *page             // where its record is; nil once it needs none
 	place     int               // in page.recs
-	state     recState
+	state     attemptState
 	inherited bool
 	session   uint64 // in which it was ordered
 	inflight  int    // run orders sent directly and not answered: they may still be carried out
@@ -53,16 +53,16 @@
 	gone, lost, dirty        bool
 	rest                     bool // the leader wants no new tasks here
 	wasFit, silent           bool
-	unheard                  int          // direct commands without an answer, in a row
-	deaf                     clock.Micros // since when it seems not to hear us; 0: it does
-	fenced                   clock.Micros // when it was last shown our token directly
-	recs                     []*rec       // in the order in which they came
-	failed                   []string     // jobs whose tasks failed here
+	unanswered               int            // direct commands without an answer, in a row
+	deaf                     clock.Micros   // since when it seems not to hear us; 0: it does
+	fenced                   clock.Micros   // when it was last shown our token directly
+	recs                     []*taskAttempt // in the order in which they came
+	failed                   []string       // jobs whose tasks failed here
 	free                     *placement.Machine
 	images                   *placement.Cache
 }
 
-type blk struct {
+type heldBlock struct {
 	id           int
 	token, stamp uint64
 	since        clock.Micros
@@ -79,7 +79,7 @@
 	machines     map[string]*machine
 	order        []*machine // by name
 	changed      []*machine // that the leader is to be told of
-	byTask       map[peer.Task][]*rec
+	byTask       map[peer.Task][]*taskAttempt
 	// attempts counts, by task, those whose end the leader has not been told. A
 	// stale record may stand beside a live one: only the last end gives the task back.
 	attempts map[peer.Task]int
@@ -90,7 +90,7 @@
 	events   []peer.Event
 }
 
-func (b *blk) machine(name string) *machine {
+func (b *heldBlock) machine(name string) *machine {
 	m := b.machines[name]
 	if m == nil {
 		m = &machine{name: name, images: &placement.Cache{}}
@@ -103,7 +103,7 @@
 }
 
 // mark notes that the leader is to be told of the machine.
-func (b *blk) mark(m *machine) {
+func (b *heldBlock) mark(m *machine) {
 	m.free = nil
 	if !m.dirty {
 		m.dirty = true
@@ -112,7 +112,7 @@
 }
 
 // find gives the machine's record of an attempt; attempts never repeat.
-func (m *machine) find(attempt uint64) *rec {
+func (m *machine) find(attempt uint64) *taskAttempt {
 	for _, r := range m.recs {
 		if r.attempt == attempt {
 			return r
@@ -121,7 +121,7 @@
 	return nil
 }
 
-func (b *blk) add(r *rec) {
+func (b *heldBlock) add(r *taskAttempt) {
 	r.m.recs = append(r.m.recs, r)
 	b.byTask[r.task] = append(b.byTask[r.task], r)
 	b.attempts[r.task]++
@@ -129,7 +129,7 @@
 }
 
 // tellEnd says how an attempt ended, once; a task comes back only with its last attempt.
-func (b *blk) tellEnd(r *rec, e peer.Event) {
+func (b *heldBlock) tellEnd(r *taskAttempt, e peer.Event) {
 	if r.told {
 		return
 	}
@@ -145,18 +145,18 @@
 }
 
 // settle gives up the record of an attempt whose end is proven and stored.
-func (b *blk) settle(r *rec) {
+func (b *heldBlock) settle(r *taskAttempt) {
 	if r.page != nil {
 		r.page.drop(r)
 	}
 }
 
 // lose takes off the books an attempt that is proven to be on the machine no more.
-func (b *blk) lose(r *rec, kind string) {
+func (b *heldBlock) lose(r *taskAttempt, kind string) {
 	b.tellEnd(r, peer.Event{Task: r.task, Kind: kind, Machine: r.m.name})
 	b.settle(r)
-	r.m.recs = slices.DeleteFunc(r.m.recs, func(o *rec) bool { return o == r })
-	if left := slices.DeleteFunc(b.byTask[r.task], func(o *rec) bool { return o == r }); len(left) > 0 {
+	r.m.recs = slices.DeleteFunc(r.m.recs, func(o *taskAttempt) bool { return o == r })
+	if left := slices.DeleteFunc(b.byTask[r.task], func(o *taskAttempt) bool { return o == r }); len(left) > 0 {
 		b.byTask[r.task] = left
 	} else {
 		delete(b.byTask, r.task)
--- a/internal/block/tick.go
+++ b/internal/block/tick.go
@@ -33,7 +33,7 @@
 	}
 }
 
-func (h *Holder) tickBlock(now clock.Micros, b *blk) {
+func (h *Holder) tickBlock(now clock.Micros, b *heldBlock) {
 	kept := 0
 	var buried []string
 	for _, m := range b.order {
--- a/internal/leader/evict.go
+++ b/internal/leader/evict.go
@@ -85,7 +85,7 @@
 			if at == nil || j == nil {
 				continue
 			}
-			mem := j.rec.Spec.MemoryGB
+			mem := j.record.Spec.MemoryGB
 			if leaves {
 				at.cpus += h.cpus
 				at.mem += mem
@@ -93,7 +93,7 @@
 			if h.stopped != "" {
 				continue
 			}
-			rank := wire.Rank(j.rec.Spec.Priority)
+			rank := wire.Rank(j.record.Spec.Priority)
 			if rank <= 0 {
 				continue
 			}
@@ -118,7 +118,7 @@
 // evictFor makes room for the waiting tasks of one job, as far as it may run, and says how
 // many tasks it stopped.
 func (l *Leader) evictFor(now clock.Micros, t *teamQueue, j *job, spaces []*space, leaving uses) (stopped int) {
-	s := &j.rec.Spec
+	s := &j.record.Spec
 	zones := l.zones(j)
 	standing := t.standing
 	for n := j.nWant; n > 0; n-- {
--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -22,7 +22,7 @@
 	every := max(lag/2, 2*clock.Second)
 	pending := 0
 	for _, rt := range l.rentals {
-		if !rt.rec.Asked {
+		if !rt.record.Asked {
 			pending++
 		}
 	}
@@ -53,10 +53,10 @@
 	}
 	for _, key := range slices.Sorted(maps.Keys(l.rentals)) {
 		rt := l.rentals[key]
-		if !rt.rec.Asked {
+		if !rt.record.Asked {
 			if rt.busy && rt.asked > 0 && now-rt.asked > 8*clock.Second {
 				rt.asked = now
-				l.emit(Rent{l.epoch, rt.rec.Rental})
+				l.emit(Rent{l.epoch, rt.record.Rental})
 			}
 		} else if !rt.busy {
 			l.tidyRental(now, rt)
@@ -102,7 +102,7 @@
 		for part := range slices.Chunk(names, fleet.MostAtOnce) {
 			l.rentSeq++
 			rt := &rental{key: fmt.Sprintf("%sfound-%d-%d", FleetPrefix, l.epoch, l.rentSeq), busy: true,
-				rec: FleetRecord{Rental: k, Machines: part, Asked: true}}
+				record: FleetRecord{Rental: k, Machines: part, Asked: true}}
 			l.rentals[rt.key] = rt
 			l.writeRental(rt)
 		}
@@ -111,8 +111,8 @@
 
 // doomed are machines that serve nobody any more.
 func (l *Leader) doomed(now clock.Micros) []string {
-	silent := map[*lblock]int{}
-	up := map[*lblock]int{}
+	silent := map[*leasedBlock]int{}
+	up := map[*leasedBlock]int{}
 	for _, m := range l.machines {
 		b := m.block
 		// Those that gave notice are expected to fall silent, many at once too.
@@ -177,10 +177,10 @@
 	}
 	stuck := false
 	for _, rt := range l.rentals {
-		if !rt.rec.Asked {
+		if !rt.record.Asked {
 			stuck = stuck || now-rt.since > stuckAfter
-			for range rt.rec.Rental.Count {
-				supply = append(supply, fleet.Supply{Option: l.option(rt.rec.Rental)})
+			for range rt.record.Rental.Count {
+				supply = append(supply, fleet.Supply{Option: l.option(rt.record.Rental)})
 			}
 		}
 	}
@@ -201,7 +201,7 @@
 	for _, o := range d.Rent {
 		l.rentSeq++
 		req := fmt.Sprintf("r-%d-%d", l.epoch, l.rentSeq)
-		rt := &rental{key: FleetPrefix + req, since: now, rec: FleetRecord{Rental: wire.Rental{Request: req, Type: o.Type.Name, Zone: o.Zone, Spot: o.Spot, Count: o.Count}}}
+		rt := &rental{key: FleetPrefix + req, since: now, record: FleetRecord{Rental: wire.Rental{Request: req, Type: o.Type.Name, Zone: o.Zone, Spot: o.Spot, Count: o.Count}}}
 		l.rentals[rt.key] = rt
 		l.writeRental(rt)
 	}
@@ -218,17 +218,17 @@
 // While the cloud does not answer, nothing cheaper comes: what is there serves, too.
 func (l *Leader) rest(d fleet.Decision, stuck bool) {
 	for _, m := range l.machines {
-		m.shun, m.rest = false, false
+		m.cordoned, m.rest = false, false
 	}
 	for _, name := range d.Shun {
-		l.machines[name].shun, l.machines[name].rest = !stuck, stuck
+		l.machines[name].cordoned, l.machines[name].rest = !stuck, stuck
 	}
 	for _, name := range d.Rest {
 		l.machines[name].rest = true
 	}
 	for _, name := range slices.Sorted(maps.Keys(l.machines)) {
 		m := l.machines[name]
-		if out := m.shun || m.rest; out != m.out && m.block.state == granted {
+		if out := m.cordoned || m.rest; out != m.out && m.block.state == granted {
 			m.out = out
 			if out {
 				m.block.orders.Rest = append(m.block.orders.Rest, name)
--- a/internal/leader/grants.go
+++ b/internal/leader/grants.go
@@ -33,7 +33,7 @@
 	stoppedAt  clock.Micros
 }
 
-type lblock struct {
+type leasedBlock struct {
 	id       int
 	state    blockState
 	token    uint64
@@ -82,7 +82,7 @@
 		names = able
 	}
 	count := map[string]int{}
-	var homeless []*lblock
+	var homeless []*leasedBlock
 	for _, b := range l.blocks {
 		if b.state == writing || b.state == reading {
 			if l.nodes[b.holder] != nil {
@@ -98,8 +98,8 @@
 		homeless = append(homeless, b)
 	}
 	fair := (len(l.blocks) + len(names) - 1) / len(names)
-	var todo []*lblock
-	var rest []*lblock
+	var todo []*leasedBlock
+	var rest []*leasedBlock
 	for _, b := range homeless {
 		if b.homeless == 0 {
 			b.homeless = now
@@ -144,7 +144,7 @@
 
 // even finds blocks to move to the controller that has the fewest, from those that have at least
 // two more. They move together, as whoever has many is often overloaded by them.
-func (l *Leader) even(now clock.Micros, count map[string]int, least func() string) []*lblock {
+func (l *Leader) even(now clock.Micros, count map[string]int, least func() string) []*leasedBlock {
 	to := least()
 	n := l.nodes[to]
 	if now-n.joined <= settleTime {
@@ -154,7 +154,7 @@
 	if careful && now-n.tried < blindFor/2 {
 		return nil
 	}
-	var moved []*lblock
+	var moved []*leasedBlock
 	for _, b := range l.blocks {
 		// Through the state service a grant may take longer than its workers' leases last.
 		if n.slow && count[b.holder] <= l.answerable() {
@@ -247,7 +247,7 @@
 
 type blocksTag struct{ tokens map[int]uint64 }
 
-func (l *Leader) writeBlocks(bs []*lblock) {
+func (l *Leader) writeBlocks(bs []*leasedBlock) {
 	tag := blocksTag{map[int]uint64{}}
 	var guards []wire.Guard
 	var writes []wire.Write
@@ -379,7 +379,7 @@
 }
 
 // release takes a task out of a block's grant.
-func (l *Leader) release(b *lblock, t peer.Task) *held {
+func (l *Leader) release(b *leasedBlock, t peer.Task) *held {
 	h := b.tasks[t]
 	if h != nil {
 		delete(b.tasks, t)
--- a/internal/leader/holders.go
+++ b/internal/leader/holders.go
@@ -47,7 +47,7 @@
 	}
 }
 
-func (l *Leader) update(now clock.Micros, b *lblock, u peer.BlockUpdate) {
+func (l *Leader) update(now clock.Micros, b *leasedBlock, u peer.BlockUpdate) {
 	for _, e := range u.Events {
 		l.event(now, b, e)
 	}
@@ -60,7 +60,7 @@
 	l.stirred = true
 }
 
-func (l *Leader) event(now clock.Micros, b *lblock, e peer.Event) {
+func (l *Leader) event(now clock.Micros, b *leasedBlock, e peer.Event) {
 	j := l.jobs[e.Job]
 	switch e.Kind {
 	case peer.Started:
@@ -75,7 +75,7 @@
 			h.running, h.since = true, now
 			if j != nil {
 				j.running++
-				if j.rec.Spec.Standing() {
+				if j.record.Spec.Standing() {
 					l.rose(now, j, e.Task, h)
 				}
 			}
@@ -85,7 +85,7 @@
 		if h != nil && h.running && j != nil {
 			j.running--
 		}
-		standing := j != nil && j.rec.Spec.Standing()
+		standing := j != nil && j.record.Spec.Standing()
 		if e.Kind == peer.Done && standing {
 			// No end of a replica is its last. It stays listed until its machine has shown a
 			// higher token: a late copy of its order would start it anew.
@@ -110,7 +110,7 @@
 	}
 }
 
-func (l *Leader) done(now clock.Micros, b *lblock, j *job, e peer.Event) {
+func (l *Leader) done(now clock.Micros, b *leasedBlock, j *job, e peer.Event) {
 	if m := l.machines[e.Machine]; m != nil {
 		m.errRun = 0
 		clear(m.errs)
@@ -121,14 +121,14 @@
 	}
 	b.unstored = append(b.unstored, e.Task)
 	j.okay = true
-	if j.markDone(e.Index) && e.Secs > 1 && j.rec.Spec.EstimateS > 0 {
-		c := l.classes[j.rec.Spec.Class]
+	if j.markDone(e.Index) && e.Secs > 1 && j.record.Spec.EstimateS > 0 {
+		c := l.classes[j.record.Spec.Class]
 		if c == nil {
 			c = &classStat{ratio: 1}
-			l.classes[j.rec.Spec.Class] = c
+			l.classes[j.record.Spec.Class] = c
 		}
 		c.n++
-		c.ratio += (e.Secs/j.rec.Spec.EstimateS - c.ratio) / float64(min(c.n, 50))
+		c.ratio += (e.Secs/j.record.Spec.EstimateS - c.ratio) / float64(min(c.n, 50))
 	}
 	l.end(j)
 }
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -18,10 +18,10 @@
 
 // chunk is a range of a job's tasks whose progress is stored as one.
 type chunk struct {
-	done, saved []byte // bits
-	dirty       bool
-	shelf       *shelf // where it is stored
-	former      *shelf // too large a one, which holds it until the other has it
+	done, saved  []byte // bits
+	dirty        bool
+	progressPage *progressPage // where it is stored
+	former       *progressPage // too large a one, which holds it until the other has it
 }
 
 // shape is what a job's tasks take and where they may be.
@@ -33,7 +33,7 @@
 
 type job struct {
 	shape     shape
-	rec       JobRecord
+	record    JobRecord
 	stamp     uint64
 	chunks    []chunk
 	nDone     int
@@ -63,13 +63,13 @@
 func (l *Leader) addJob(r JobRecord, stamp uint64) *job {
 	n := r.Spec.Tasks
 	s := &r.Spec
-	j := &job{shape: shape{s.CPUs, s.GPUs, s.MemoryGB, fmt.Sprint(s.Types), s.Zone, s.Spot}, rec: r, stamp: stamp, out: map[int]int{}, errAt: map[string]clock.Micros{}, replicas: map[int]*replica{}, want: make([]uint64, (n+63)/64)}
+	j := &job{shape: shape{s.CPUs, s.GPUs, s.MemoryGB, fmt.Sprint(s.Types), s.Zone, s.Spot}, record: r, stamp: stamp, out: map[int]int{}, errAt: map[string]clock.Micros{}, replicas: map[int]*replica{}, want: make([]uint64, (n+63)/64)}
 	for left := n; left > 0; left -= ChunkTasks {
 		n := (min(left, ChunkTasks) + 7) / 8
 		j.chunks = append(j.chunks, chunk{done: make([]byte, n), saved: make([]byte, n)})
 	}
 	l.jobs[r.Spec.Ref] = j
-	l.came[r.Spec.Class] = true
+	l.classesSeen[r.Spec.Class] = true
 	return j
 }
 
@@ -120,7 +120,7 @@
 }
 
 func (j *job) fillWaiting() {
-	for i := range j.rec.Spec.Tasks {
+	for i := range j.record.Spec.Tasks {
 		if !j.isDone(i) && j.out[i] == 0 {
 			j.setWaiting(i, true)
 		}
@@ -181,7 +181,7 @@
 
 // cancel stops a cancelled job's tasks wherever they may be.
 func (l *Leader) cancel(j *job) {
-	ref := j.rec.Spec.Ref
+	ref := j.record.Spec.Ref
 	j.cancelled = true
 	delete(l.jobs, ref)
 	delete(l.counts, ref)
@@ -195,11 +195,11 @@
 		}
 		b.ack(func(t peer.Task) bool { return t.Job == ref })
 	}
-	j.leaveShelves()
+	j.leaveProgressPages()
 }
 
 // stop tells the holder to end all tasks of a job.
-func (b *lblock) stop(ref string) {
+func (b *leasedBlock) stop(ref string) {
 	from := len(b.orders.Stop)
 	for t := range b.tasks {
 		if t.Job == ref {
@@ -209,7 +209,7 @@
 	slices.SortFunc(b.orders.Stop[from:], func(a, c peer.StopTask) int { return a.Index - c.Index })
 }
 
-func (b *lblock) ack(stored func(peer.Task) bool) {
+func (b *leasedBlock) ack(stored func(peer.Task) bool) {
 	b.unstored = slices.DeleteFunc(b.unstored, func(t peer.Task) bool {
 		if stored(t) {
 			b.orders.Stored = append(b.orders.Stored, t)
@@ -223,10 +223,10 @@
 
 // end writes a job's final state once all its tasks are done.
 func (l *Leader) end(j *job) {
-	if j.ending || j.cancelled || j.nDone < j.rec.Spec.Tasks {
+	if j.ending || j.cancelled || j.nDone < j.record.Spec.Tasks {
 		return
 	}
-	ref := j.rec.Spec.Ref
+	ref := j.record.Spec.Ref
 	j.ending = true
 	l.commit(store.Starts, endTag{ref}, []wire.Guard{{Key: JobPrefix + ref, Version: j.stamp}},
 		[]wire.Write{put(EndPrefix+ref, EndRecord{State: wire.Done, Tasks: j.nDone}), {Delete: JobPrefix + ref}})
@@ -265,7 +265,7 @@
 }
 
 func (l *Leader) finish(j *job) {
-	ref := j.rec.Spec.Ref
+	ref := j.record.Spec.Ref
 	delete(l.jobs, ref)
 	delete(l.counts, ref)
 	for _, b := range l.blocks {
@@ -273,7 +273,7 @@
 		// A copy that a stale record still names must not run on.
 		b.stop(ref)
 	}
-	j.leaveShelves()
+	j.leaveProgressPages()
 }
 
 // steady is how long a replica runs before it is taken for sound.
@@ -322,7 +322,7 @@
 	if r == nil || r.since == 0 {
 		if !h.inherited {
 			l.emit(Log{Debug: true, Text: "replica runs", Args: []any{"task", block.TaskName(t), "machine", h.machine,
-				"after_s", (now + l.wall - j.rec.At).Seconds()}})
+				"after_s", (now + l.wall - j.record.At).Seconds()}})
 		}
 		return
 	}
@@ -336,7 +336,7 @@
 // barred says whether a service had better wait than try a machine again.
 func (j *job) barred(now clock.Micros, m *machine) bool {
 	at, ok := j.errAt[m.name]
-	return ok && j.rec.Spec.Standing() && now-at < barredFor
+	return ok && j.record.Spec.Standing() && now-at < barredFor
 }
 
 // retry lets replicas wait again whose pause is over.
@@ -363,14 +363,14 @@
 func (l *Leader) errored(now clock.Micros, j *job, name string) {
 	j.errs++
 	j.errAt[name] = now
-	standing := j.rec.Spec.Standing()
+	standing := j.record.Spec.Standing()
 	j.okay = j.okay || standing && l.runsWell(now, j)
 	if m := l.machines[name]; m != nil {
 		m.errRun++
 		if m.errs == nil {
 			m.errs = map[string]int{}
 		}
-		m.errs[j.rec.Spec.Ref]++
+		m.errs[j.record.Spec.Ref]++
 		// Two jobs failed in a row here, or one that does well elsewhere.
 		if !m.drain && m.errRun >= 2 && (len(m.errs) >= 2 || j.okay) {
 			l.drain(now, m, "fails its tasks")
@@ -384,8 +384,8 @@
 
 // remaining estimates a task's run time from its owner's word and its class's history.
 func (l *Leader) remaining(j *job) float64 {
-	est := j.rec.Spec.EstimateS
-	if c := l.classes[j.rec.Spec.Class]; c != nil && c.n >= 5 {
+	est := j.record.Spec.EstimateS
+	if c := l.classes[j.record.Spec.Class]; c != nil && c.n >= 5 {
 		est *= c.ratio
 	}
 	return est + 1
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -35,12 +35,12 @@
 	name     string
 	rental   string
 	opt      fleet.Option
-	block    *lblock
+	block    *leasedBlock
 	born     clock.Micros
 	address  string
 	up       bool
 	booting  bool // by the list
-	shun     bool // not worth new tasks
+	cordoned bool // not worth new tasks
 	rest     bool // not needed for new tasks while others have room
 	out      bool // its holder was told to leave it out
 	state    peer.MachineState
@@ -56,12 +56,12 @@
 }
 
 type rental struct {
-	key   string
-	stamp uint64
-	rec   FleetRecord
-	busy  bool // a write or a request is under way
-	asked clock.Micros
-	since clock.Micros // when it was first wanted here
+	key    string
+	stamp  uint64
+	record FleetRecord
+	busy   bool // a write or a request is under way
+	asked  clock.Micros
+	since  clock.Micros // when it was first wanted here
 	// when machines that are gone were last taken out of its record
 	tidied clock.Micros
 }
@@ -81,21 +81,21 @@
 	began                                                               clock.Micros
 	viewed                                                              clock.Micros // the jobs are known as they were then, or later
 	tokens                                                              uint64
-	blocks                                                              []*lblock
+	blocks                                                              []*leasedBlock
 	nodes                                                               map[string]*node
 	jobs                                                                map[string]*job
 	usage                                                               map[string]*use
 	machines                                                            map[string]*machine
 	rentals                                                             map[string]*rental
 	gone                                                                map[string]bool
-	came                                                                map[string]bool // classes of which a job has come in this epoch
+	classesSeen                                                         map[string]bool // classes of which a job has come in this epoch
 	types                                                               map[string]wire.MachineType
 	typeList                                                            []wire.MachineType
 	refused                                                             map[fleet.OptionKey]refusal
 	classes                                                             map[string]*classStat
 	rentSeq                                                             int
-	shelves                                                             []*shelf
-	shelfSeq                                                            int
+	progressPages                                                       []*progressPage
+	progressPageSeq                                                     int
 	progressAt, lastPlan                                                clock.Micros
 	found                                                               map[string]wire.Machine
 	lastList, lastCounts, lastState, lastFleet, lastSchedule, lastEvict clock.Micros
@@ -153,7 +153,7 @@
 
 func (l *Leader) reset() {
 	*l = Leader{cfg: l.cfg, within: l.within, awaited: l.awaited, valueBytes: l.cfg.ValueBytes(), txnOps: l.cfg.TxnOps(), teams: l.teams, self: l.self, storeOK: l.storeOK, nodes: map[string]*node{}, jobs: map[string]*job{}, usage: map[string]*use{},
-		machines: map[string]*machine{}, rentals: map[string]*rental{}, gone: map[string]bool{}, came: map[string]bool{}, types: map[string]wire.MachineType{},
+		machines: map[string]*machine{}, rentals: map[string]*rental{}, gone: map[string]bool{}, classesSeen: map[string]bool{}, types: map[string]wire.MachineType{},
 		refused: map[fleet.OptionKey]refusal{}, classes: map[string]*classStat{}, found: map[string]wire.Machine{}, counts: map[string]peer.TaskCount{}}
 }
 
@@ -312,11 +312,11 @@
 	blocked := 0
 	for _, j := range l.jobs {
 		waiting += j.nWant
-		if j.rec.Spec.Standing() {
+		if j.record.Spec.Standing() {
 			standing += j.running
 		}
-		team := l.teams[j.rec.Spec.Team]
-		if u := l.usage[team.Name]; u != nil && !u.takes(&j.rec.Spec, team.CPUsMax, team.GPUsMax) {
+		team := l.teams[j.record.Spec.Team]
+		if u := l.usage[team.Name]; u != nil && !u.takes(&j.record.Spec, team.CPUsMax, team.GPUsMax) {
 			blocked += j.nWant
 		}
 	}
@@ -327,7 +327,7 @@
 		if m.up && m.state.Tasks == 0 {
 			idle++
 		}
-		if m.state.Fit && !m.drain && !m.shun {
+		if m.state.Fit && !m.drain && !m.cordoned {
 			fit++
 			room += m.state.CPUs
 		}
@@ -395,6 +395,6 @@
 	case endTag:
 		l.endRead(tag, m)
 	case progTag:
-		l.shelfRead(tag, m)
+		l.progressPageRead(tag, m)
 	}
 }
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -116,7 +116,7 @@
 			writes++
 		}
 	}
-	if writes != 1 || !l.shelves[0].busy {
+	if writes != 1 || !l.progressPages[0].busy {
 		t.Fatalf("%d progress writes under way, want 1", writes)
 	}
 	var stopped []peer.StopTask
@@ -136,29 +136,29 @@
 // What would always come last has its turn: a job that has not begun in time goes
 // first, and each class, and what has waited long, has a least share.
 func TestQueueStarvesNobody(t *testing.T) {
-	mk := func(class string, aged, begun bool) *queued {
-		j := &job{rec: JobRecord{Spec: wire.Job{Class: class, Tasks: 9, CPUs: 1}}, nWant: 1, out: map[int]int{}}
+	mk := func(class string, waitedLong, begun bool) *queued {
+		j := &job{record: JobRecord{Spec: wire.Job{Class: class, Tasks: 9, CPUs: 1}}, nWant: 1, out: map[int]int{}}
 		if begun {
 			j.out[0] = 1
 		}
-		return &queued{j: j, aged: aged}
+		return &queued{j: j, waitedLong: waitedLong}
 	}
 	first, second, old, never := mk("a", false, true), mk("b", false, true), mk("a", true, true), mk("a", true, false)
-	tq := &teamQueue{u: &use{cpus: 100}, q: []*queued{first, second, old, never}, use: map[string]float64{"a": 60, "b": 30, aged: 30}}
+	tq := &teamQueue{u: &use{cpus: 100}, q: []*queued{first, second, old, never}, use: map[string]float64{"a": 60, "b": 30, waitedLong: 30}}
 	for _, c := range []struct {
 		what string
 		set  func()
 		want *queued
 	}{
 		{"not begun in time", func() {}, never},
-		{"nothing starves", func() { never.spent = true }, first},
+		{"nothing starves", func() { never.exhausted = true }, first},
 		{"a class below its least share", func() { tq.use["b"] = 5 }, second},
-		{"long waits below their least share", func() { tq.use["b"], tq.use[aged] = 30, 5 }, old},
-		{"nothing of it can be handed out", func() { old.spent = true }, first},
+		{"long waits below their least share", func() { tq.use["b"], tq.use[waitedLong] = 30, 5 }, old},
+		{"nothing of it can be handed out", func() { old.exhausted = true }, first},
 	} {
 		c.set()
 		if got, _ := tq.next(0.1); got != c.want {
-			t.Errorf("%s: job of class %s, aged %t is next", c.what, got.j.rec.Spec.Class, got.aged)
+			t.Errorf("%s: job of class %s, waitedLong %t is next", c.what, got.j.record.Spec.Class, got.waitedLong)
 		}
 	}
 }
@@ -190,15 +190,15 @@
 // returned; while the cloud answers nothing they serve like those at rest, or all would
 // wait beside idle machines.
 func TestOrdinaryMachinesServeWhileTheCloudIsAway(t *testing.T) {
-	b := &lblock{state: granted}
+	b := &leasedBlock{state: granted}
 	m := &machine{name: "m", block: b}
 	l := &Leader{machines: map[string]*machine{"m": m}}
 	d := fleet.Decision{Shun: []string{"m"}}
-	if l.rest(d, false); !m.shun || m.rest {
-		t.Errorf("shunned %v, at rest %v; want shunned", m.shun, m.rest)
+	if l.rest(d, false); !m.cordoned || m.rest {
+		t.Errorf("shunned %v, at rest %v; want shunned", m.cordoned, m.rest)
 	}
-	if l.rest(d, true); m.shun || !m.rest {
-		t.Errorf("shunned %v, at rest %v while the cloud is away; want at rest", m.shun, m.rest)
+	if l.rest(d, true); m.cordoned || !m.rest {
+		t.Errorf("shunned %v, at rest %v while the cloud is away; want at rest", m.cordoned, m.rest)
 	}
 }
 
@@ -231,7 +231,7 @@
 	page := peer.RecordPage{Machines: names[:1], Groups: []peer.RecordGroup{{Job: spec.Ref, Team: "red", CPUs: 1, Starts: []int{0, 1, 0, 1, 2, 0}}}}
 	l := granting(t, map[string]peer.RecordPage{"p": page})
 	j := l.jobs[spec.Ref]
-	j.rec.Spec.Shape = wire.Service
+	j.record.Spec.Shape = wire.Service
 	b := l.blocks[block.Of(names[0], 2)]
 	one := peer.Task{Job: spec.Ref, Index: 0}
 	fx := l.Step(began+clock.Second, Said{Node: "n0", Link: "link", Up: &peer.Up{Epoch: 5, Updates: []peer.BlockUpdate{{Block: b.id, Token: b.token,
@@ -254,11 +254,11 @@
 }
 
 // Progress that was stored when values could be larger is neither lost nor written as it
-// is: its chunks go to shelves that fit, and the old one is deleted only when all are there.
-func TestShelfOfTheOldSizeIsSplit(t *testing.T) {
+// is: its chunks go to progress pages that fit, and the old one is deleted only when all are there.
+func TestProgressPageOfTheOldSizeIsSplit(t *testing.T) {
 	l := leading(t)
 	const n = 40
-	old := &shelf{key: ProgPrefix + "1-1", stamp: 7, size: 32}
+	old := &progressPage{key: ProgPrefix + "1-1", stamp: 7, size: 32}
 	var r ProgRecord
 	var refs []string
 	for i := range n {
@@ -270,7 +270,7 @@
 	}
 	l.valueBytes = 1800
 	it := item(t, old.key, old.stamp, r)
-	l.loadShelf(it, r)
+	l.loadProgressPage(it, r)
 	left := map[any]Commit{}
 	for round := 1; round <= 3; round++ {
 		for _, e := range l.Step(began+clock.Micros(round)*progressEvery, Tick{}) {
@@ -279,13 +279,13 @@
 				continue
 			}
 			if c.Txn.Then[0].Delete == old.key && len(left) > 0 {
-				t.Fatal("the old shelf is deleted before its chunks are stored elsewhere")
+				t.Fatal("the old progress page is deleted before its chunks are stored elsewhere")
 			}
 			if tag, ok := c.Tag.(progTag); ok {
 				if len(c.Txn.Then[0].Value) > l.valueBytes || c.Txn.Then[0].Put == old.key {
 					t.Errorf("%s is written with %d bytes", c.Txn.Then[0].Put, len(c.Txn.Then[0].Value))
 				}
-				left[tag.shelf] = c
+				left[tag.progressPage] = c
 			}
 			if c.Txn.Then[0].Delete == old.key {
 				left[nil] = c
@@ -299,7 +299,7 @@
 		}
 	}
 	if _, deleted := left[nil]; !deleted {
-		t.Error("the old shelf is never deleted")
+		t.Error("the old progress page is never deleted")
 	}
 	for _, ref := range refs {
 		if j := l.jobs[ref]; !j.stored(0) || !j.stored(2) || j.stored(1) {
@@ -345,7 +345,7 @@
 	}
 	// What must be spread over zones needs room in each.
 	l.setTypes([]wire.MachineType{{Name: "small", CPUs: 4, MemoryGB: 8, BootS: 30, ZoneNames: []string{"a", "b", "c"}}})
-	j.rec.Spec.Spread = true
+	j.record.Spec.Spread = true
 	n = &needs{byKey: map[needKey]*fleet.Need{}}
 	l.needStanding(began, n, j, 6)
 	for _, need := range n.list {
@@ -407,7 +407,7 @@
 	if n < 2 {
 		t.Errorf("%d records for 200 machines", n)
 	}
-	rt := &rental{key: "fleet/old", stamp: 3, rec: FleetRecord{Machines: many, Asked: true}}
+	rt := &rental{key: "fleet/old", stamp: 3, record: FleetRecord{Machines: many, Asked: true}}
 	l.gone[many[0]] = true
 	l.fx = nil
 	if l.tidyRental(began+clock.Minute, rt); len(l.fx) > 0 {
@@ -416,8 +416,8 @@
 	for _, name := range many[:150] {
 		l.gone[name] = true
 	}
-	if l.tidyRental(began+2*clock.Minute, rt); len(l.fx) != 1 || len(rt.rec.Machines) != 50 {
-		t.Errorf("%d machines left in the record, written %d times", len(rt.rec.Machines), len(l.fx))
+	if l.tidyRental(began+2*clock.Minute, rt); len(l.fx) != 1 || len(rt.record.Machines) != 50 {
+		t.Errorf("%d machines left in the record, written %d times", len(rt.record.Machines), len(l.fx))
 	}
 }
 
@@ -439,7 +439,7 @@
 	s.Ref, s.Shape = "j-400000", wire.Service
 	j := l.addJob(JobRecord{Spec: s}, 3)
 	r := ProgRecord{Units: []ProgUnit{{Job: s.Ref, Bits: []byte{3}}}}
-	l.loadShelf(item(t, ProgPrefix+"1-1", 7, r), r)
+	l.loadProgressPage(item(t, ProgPrefix+"1-1", 7, r), r)
 	if j.isDone(0) || j.isDone(1) {
 		t.Error("replicas count as done")
 	}
@@ -450,7 +450,7 @@
 	page := peer.RecordPage{Machines: names[:1], Groups: []peer.RecordGroup{{Job: spec.Ref, Team: "red", CPUs: 1, Starts: []int{0, 1, 0}}}}
 	l := granting(t, map[string]peer.RecordPage{"p": page})
 	j := l.jobs[spec.Ref]
-	j.rec.Spec.Shape = wire.Service
+	j.record.Spec.Shape = wire.Service
 	b := l.blocks[block.Of(names[0], 2)]
 	l.Step(began, Said{Node: "n0", Link: "link", Up: &peer.Up{Epoch: 5, Updates: []peer.BlockUpdate{{Block: b.id, Token: b.token,
 		Events: []peer.Event{{Task: peer.Task{Job: spec.Ref, Index: 0}, Kind: peer.Running, Machine: names[0]}}}}}})
@@ -500,7 +500,7 @@
 	}{{0.029, 600, 3, 5, 6}, {0.029, 500, 3, 6, 6}, {0.029, 900, 3, 3, 4}, {0.029, 4000, 3, 3, 3}, {0.192, 1750, 5, 6, 6}} {
 		l := leading(t)
 		l.cfg.Facts.InitialSize, l.cfg.Facts.Quota.CPU, l.cfg.Facts.Workers.ReportS = 3, c.cpu, c.reportS
-		l.blocks = make([]*lblock, 6)
+		l.blocks = make([]*leasedBlock, 6)
 		for i := range c.machines {
 			l.machines[fmt.Sprint("more", i)] = &machine{}
 		}
@@ -572,7 +572,7 @@
 	f.InitialSize, f.Quota.CPU, f.Workers.ReportS, f.Workers.LeaseS = 3, cpu, 3, 17
 	l.blocks = nil
 	for i, h := range holders {
-		l.blocks = append(l.blocks, &lblock{id: i, holder: h, known: true, tasks: map[peer.Task]*held{}})
+		l.blocks = append(l.blocks, &leasedBlock{id: i, holder: h, known: true, tasks: map[peer.Task]*held{}})
 	}
 	for _, m := range l.machines {
 		m.block = l.blocks[0]
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -36,7 +36,7 @@
 	// Machines belong to blocks, so these come first.
 	for i := range n {
 		k := block.Key(i)
-		l.blocks = append(l.blocks, &lblock{id: i, stamp: stamps[k], holder: holders[k].Holder, tasks: map[peer.Task]*held{}})
+		l.blocks = append(l.blocks, &leasedBlock{id: i, stamp: stamps[k], holder: holders[k].Holder, tasks: map[peer.Task]*held{}})
 	}
 	for _, it := range m.Items {
 		switch {
@@ -53,12 +53,12 @@
 	for _, it := range m.Items {
 		if strings.HasPrefix(it.Key, ProgPrefix) {
 			if r, ok := decode[ProgRecord](l, it); ok {
-				l.loadShelf(it, r)
+				l.loadProgressPage(it, r)
 			}
 		}
 	}
 	for _, j := range l.jobs {
-		for i := range j.rec.Spec.Tasks {
+		for i := range j.record.Spec.Tasks {
 			if j.isDone(i) {
 				j.nDone++
 				j.okay = true
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -14,7 +14,7 @@
 	if l.machines[name] != nil {
 		return
 	}
-	l.machines[name] = &machine{name: name, rental: rt.key, opt: l.option(rt.rec.Rental), block: l.blockOf(name), born: now, idle: now}
+	l.machines[name] = &machine{name: name, rental: rt.key, opt: l.option(rt.record.Rental), block: l.blockOf(name), born: now, idle: now}
 	delete(l.found, name)
 	if b := l.blockOf(name); b.state == granted {
 		b.orders.Use = append(b.orders.Use, name)
@@ -72,7 +72,7 @@
 		h, j := b.tasks[t], l.jobs[t.Job]
 		// A replica moves at once if there is room for it; else it runs to the end here.
 		moves := false
-		if j.rec.Spec.Standing() && m.state.Notice {
+		if j.record.Spec.Standing() && m.state.Notice {
 			if room == nil {
 				room = l.freeRoom(now)
 			}
@@ -82,7 +82,7 @@
 		if moves {
 			h.stopped, h.stoppedAt = "notice", now
 		}
-		if moves || j.rec.Spec.CheckpointS > 0 && !j.rec.Spec.Standing() {
+		if moves || j.record.Spec.CheckpointS > 0 && !j.record.Spec.Standing() {
 			b.orders.Stop = append(b.orders.Stop, peer.StopTask{Task: t, Save: true})
 		}
 	}
--- a/internal/leader/needs.go
+++ b/internal/leader/needs.go
@@ -25,7 +25,7 @@
 }
 
 func (n *needs) of(j *job, zone string) *fleet.Need {
-	s := &j.rec.Spec
+	s := &j.record.Spec
 	key := needKey{j.shape, s.Standing(), zone}
 	need := n.byKey[key]
 	if need == nil {
@@ -47,7 +47,7 @@
 	for _, standing := range []bool{true, false} {
 		for _, ref := range refs {
 			j := l.jobs[ref]
-			s := &j.rec.Spec
+			s := &j.record.Spec
 			left := s.Tasks - j.nDone
 			if s.Standing() != standing || left <= 0 || now < j.notBefore {
 				continue
@@ -109,7 +109,7 @@
 
 // zonesFor are the zones over which a job's tasks may be spread now; none if they need not be.
 func (l *Leader) zonesFor(now clock.Micros, j *job) (out []string) {
-	s := &j.rec.Spec
+	s := &j.record.Spec
 	if !s.Spread || s.Zone != "" {
 		return nil
 	}
@@ -134,34 +134,34 @@
 // reserve adds the room that services need which come while a machine rented for them
 // would still boot: what came lately, for that long, and half as much again as it varies.
 func (l *Leader) reserve(now clock.Micros, n *needs) {
-	type came struct {
+	type recentArrivals struct {
 		sum, squares float64
 		like         *job
 	}
-	lately := map[shape]*came{}
+	lately := map[shape]*recentArrivals{}
 	var shapes []shape
 	oldest := 0.0
 	for _, ref := range slices.Sorted(maps.Keys(l.jobs)) {
 		j := l.jobs[ref]
-		age := (now + l.wall - j.rec.At).Seconds()
-		if !j.rec.Spec.Standing() || age > arrivals {
+		age := (now + l.wall - j.record.At).Seconds()
+		if !j.record.Spec.Standing() || age > arrivals {
 			continue
 		}
 		oldest = max(oldest, age)
 		c := lately[j.shape]
 		if c == nil {
-			c = &came{like: j}
+			c = &recentArrivals{like: j}
 			lately[j.shape] = c
 			shapes = append(shapes, j.shape)
 		}
-		tasks := float64(j.rec.Spec.Tasks)
+		tasks := float64(j.record.Spec.Tasks)
 		c.sum += tasks
 		c.squares += tasks * tasks
 	}
 	window := max(oldest, leastArrivals)
 	for _, k := range shapes {
 		c := lately[k]
-		ahead := l.bootTime(&c.like.rec.Spec) * 1.3 / window
+		ahead := l.bootTime(&c.like.record.Spec) * 1.3 / window
 		more := int(math.Ceil(c.sum*ahead + 1.5*math.Sqrt(c.squares*ahead)))
 		over := l.zonesFor(now, c.like)
 		if len(over) == 0 {
@@ -202,7 +202,7 @@
 	}
 	n := 0
 	for class, within := range l.awaited {
-		if !l.came[class] && within < boot*1.5+10 {
+		if !l.classesSeen[class] && within < boot*1.5+10 {
 			n += warmCPUs
 		}
 	}
--- a/internal/leader/progress.go
+++ b/internal/leader/progress.go
@@ -14,63 +14,63 @@
 // until then they stay listed on their workers, so nothing is lost.
 const progressEvery = 5 * clock.Second
 
-// shelf is one key of progress. It holds chunks of several jobs, so that what one
+// progressPage is one key of progress. It holds chunks of several jobs, so that what one
 // write costs does not grow with the number of jobs.
-type shelf struct {
+type progressPage struct {
 	key    string
 	stamp  uint64
-	units  []shelfUnit
+	units  []progressPageUnit
 	size   int
 	dirty  bool // a chunk is to be written or removed
 	busy   bool
 	moving int // how many chunks that it is to lose are not stored elsewhere yet; it is left as it is until then
 }
 
-type shelfUnit struct {
+type progressPageUnit struct {
 	j     *job
 	chunk int
 }
 
 func chunkBytes(n int) int { return (n+2)/3*4 + 48 }
 
-// place finds a shelf with room for a chunk.
-func (l *Leader) place(j *job, c int) *shelf {
+// place finds a progress page with room for a chunk.
+func (l *Leader) place(j *job, c int) *progressPage {
 	need := chunkBytes(len(j.chunks[c].done))
-	for _, s := range l.shelves {
+	for _, s := range l.progressPages {
 		if s.size+need <= l.valueBytes {
 			s.put(j, c)
 			return s
 		}
 	}
-	l.shelfSeq++
-	s := &shelf{key: ProgPrefix + strconv.FormatUint(l.epoch, 10) + "-" + strconv.Itoa(l.shelfSeq), size: 32}
-	l.shelves = append(l.shelves, s)
+	l.progressPageSeq++
+	s := &progressPage{key: ProgPrefix + strconv.FormatUint(l.epoch, 10) + "-" + strconv.Itoa(l.progressPageSeq), size: 32}
+	l.progressPages = append(l.progressPages, s)
 	s.put(j, c)
 	return s
 }
 
-func (s *shelf) put(j *job, c int) {
-	s.units = append(s.units, shelfUnit{j, c})
+func (s *progressPage) put(j *job, c int) {
+	s.units = append(s.units, progressPageUnit{j, c})
 	s.size += chunkBytes(len(j.chunks[c].done))
-	j.chunks[c].shelf = s
+	j.chunks[c].progressPage = s
 }
 
-// leaveShelves takes a job that is over off its shelves; they are written without it in time.
-func (j *job) leaveShelves() {
+// leaveProgressPages takes a job that is over off its progress pages; they are written without it in time.
+func (j *job) leaveProgressPages() {
 	for c := range j.chunks {
 		j.chunks[c].leaveFormer()
-		s := j.chunks[c].shelf
+		s := j.chunks[c].progressPage
 		if s == nil {
 			continue
 		}
-		s.units = slices.DeleteFunc(s.units, func(u shelfUnit) bool { return u.j == j && u.chunk == c })
+		s.units = slices.DeleteFunc(s.units, func(u progressPageUnit) bool { return u.j == j && u.chunk == c })
 		s.size -= chunkBytes(len(j.chunks[c].done))
 		s.dirty = true
-		j.chunks[c].shelf = nil
+		j.chunks[c].progressPage = nil
 	}
 }
 
-// leaveFormer notes that a shelf that is too large need not hold the chunk any more.
+// leaveFormer notes that a progress page that is too large need not hold the chunk any more.
 func (c *chunk) leaveFormer() {
 	if c.former == nil {
 		return
@@ -80,14 +80,14 @@
 	c.former = nil
 }
 
-// loadShelf takes in progress as an earlier leader stored it.
-func (l *Leader) loadShelf(it wire.Item, r ProgRecord) {
-	s := &shelf{key: it.Key, stamp: it.Version, size: 32}
-	l.shelves = append(l.shelves, s)
+// loadProgressPage takes in progress as an earlier leader stored it.
+func (l *Leader) loadProgressPage(it wire.Item, r ProgRecord) {
+	s := &progressPage{key: it.Key, stamp: it.Version, size: 32}
+	l.progressPages = append(l.progressPages, s)
 	for _, u := range r.Units {
 		j := l.jobs[u.Job]
 		// A service that an older version held for a batch has no progress either.
-		if j == nil || j.rec.Spec.Standing() || u.Chunk < 0 || u.Chunk >= len(j.chunks) {
+		if j == nil || j.record.Spec.Standing() || u.Chunk < 0 || u.Chunk >= len(j.chunks) {
 			s.dirty = true // of a job that is over
 			continue
 		}
@@ -96,11 +96,11 @@
 			ch.done[i] |= u.Bits[i]
 			ch.saved[i] |= u.Bits[i]
 		}
-		if ch.shelf == nil && ch.former == nil {
+		if ch.progressPage == nil && ch.former == nil {
 			s.put(j, u.Chunk)
 			continue
 		}
-		// On two shelves: one of them is enough, once it has what both had.
+		// On two progress pages: one of them is enough, once it has what both had.
 		s.dirty, ch.dirty = true, true
 		if ch.former == nil {
 			ch.former = s
@@ -112,23 +112,23 @@
 	}
 }
 
-// split gives up a shelf that was written when values could be larger: as it is, it could
+// split gives up a progress page that was written when values could be larger: as it is, it could
 // not be written again. Its chunks go to others, and it stays until they are stored there.
-func (s *shelf) split() {
+func (s *progressPage) split() {
 	s.dirty = true
 	for _, u := range s.units {
 		ch := &u.j.chunks[u.chunk]
 		ch.leaveFormer()
-		ch.shelf, ch.former, ch.dirty = nil, s, true
+		ch.progressPage, ch.former, ch.dirty = nil, s, true
 	}
 	s.moving += len(s.units)
 	s.units = nil
 }
 
 type progTag struct {
-	shelf *shelf
-	units []shelfUnit
-	bits  [][]byte
+	progressPage *progressPage
+	units        []progressPageUnit
+	bits         [][]byte
 }
 
 // progress writes completed tasks now and then, many jobs in one value.
@@ -145,13 +145,13 @@
 			if !ch.dirty || j.ending {
 				continue
 			}
-			if ch.shelf == nil {
+			if ch.progressPage == nil {
 				l.place(j, c)
 			}
-			ch.shelf.dirty = true
+			ch.progressPage.dirty = true
 		}
 	}
-	l.shelves = slices.DeleteFunc(l.shelves, func(s *shelf) bool {
+	l.progressPages = slices.DeleteFunc(l.progressPages, func(s *progressPage) bool {
 		if s.busy || !s.dirty || len(s.units) > 0 || s.moving > 0 {
 			return false
 		}
@@ -160,19 +160,19 @@
 		}
 		return true
 	})
-	for _, s := range l.shelves {
+	for _, s := range l.progressPages {
 		if s.busy || !s.dirty || s.moving > 0 {
 			continue
 		}
 		s.busy, s.dirty = true, false
-		tag := progTag{shelf: s, units: slices.Clone(s.units)}
+		tag := progTag{progressPage: s, units: slices.Clone(s.units)}
 		var r ProgRecord
 		for _, u := range s.units {
 			ch := &u.j.chunks[u.chunk]
 			ch.dirty = false
 			bits := slices.Clone(ch.done)
 			tag.bits = append(tag.bits, bits)
-			r.Units = append(r.Units, ProgUnit{Job: u.j.rec.Spec.Ref, Chunk: u.chunk, Bits: bits})
+			r.Units = append(r.Units, ProgUnit{Job: u.j.record.Spec.Ref, Chunk: u.chunk, Bits: bits})
 		}
 		// A late copy of an older write must not take back what was said to be stored.
 		l.commit(store.Lazy, tag, []wire.Guard{{Key: s.key, Version: s.stamp}}, []wire.Write{put(s.key, r)})
@@ -180,16 +180,16 @@
 }
 
 func (l *Leader) progressed(tag progTag, m Committed) {
-	s := tag.shelf
+	s := tag.progressPage
 	if m.Outcome.OK {
 		s.busy, s.stamp = false, m.Outcome.Revision
 		saved := map[string]*job{}
 		for i, u := range tag.units {
 			copy(u.j.chunks[u.chunk].saved, tag.bits[i])
-			if u.j.chunks[u.chunk].shelf == s {
+			if u.j.chunks[u.chunk].progressPage == s {
 				u.j.chunks[u.chunk].leaveFormer()
 			}
-			saved[u.j.rec.Spec.Ref] = u.j
+			saved[u.j.record.Spec.Ref] = u.j
 		}
 		for _, b := range l.blocks {
 			b.ack(func(t peer.Task) bool {
@@ -215,7 +215,7 @@
 	s.busy = false
 }
 
-// shelfRead goes on after the guard failed on what an unanswered write of ours did.
-func (l *Leader) shelfRead(tag progTag, m Read) {
-	tag.shelf.busy, tag.shelf.stamp = false, m.Item.Version
+// progressPageRead goes on after the guard failed on what an unanswered write of ours did.
+func (l *Leader) progressPageRead(tag progTag, m Read) {
+	tag.progressPage.busy, tag.progressPage.stamp = false, m.Item.Version
 }
--- a/internal/leader/queue.go
+++ b/internal/leader/queue.go
@@ -15,7 +15,7 @@
 // by submission. A job without a deadline of its own has that of its class's
 // objective.
 func (l *Leader) queueKey(age float64, j *job) [4]float64 {
-	s := &j.rec.Spec
+	s := &j.record.Spec
 	due := math.Inf(1)
 	if s.DeadlineS != nil {
 		due = *s.DeadlineS
@@ -40,10 +40,10 @@
 }
 
 type queued struct {
-	j     *job
-	key   [4]float64
-	aged  bool // it has waited long: its kind of job has a least share
-	spent bool // nothing of it can be handed out in this round
+	j          *job
+	key        [4]float64
+	waitedLong bool // it has waited long: its kind of job has a least share
+	exhausted  bool // nothing of it can be handed out in this round
 }
 
 func (q *queued) rank() float64 { return q.key[1] }
@@ -67,30 +67,30 @@
 	known bool
 }
 
-const aged = ""
+const waitedLong = ""
 
 // next gives the job whose turn it is. Order alone would starve what always comes
 // last: the largest, those already late, a class of low priority. So a job that has
 // not begun in time goes first with one task, and each class, and what has waited
 // long, has a least share of what its team uses.
 func (t *teamQueue) next(floor float64) (pick *queued, least bool) {
-	t.q = slices.DeleteFunc(t.q, func(q *queued) bool { return q.spent || q.j.nWant == 0 })
+	t.q = slices.DeleteFunc(t.q, func(q *queued) bool { return q.exhausted || q.j.nWant == 0 })
 	for _, q := range t.q {
-		if q.aged && !q.j.begun() {
+		if q.waitedLong && !q.j.begun() {
 			return q, true
 		}
 	}
 	var seen []string // a few classes
 	for _, q := range t.q {
-		if c := q.j.rec.Spec.Class; !slices.Contains(seen, c) {
+		if c := q.j.record.Spec.Class; !slices.Contains(seen, c) {
 			seen = append(seen, c)
 			if t.use[c] < floor*t.u.cpus {
 				return q, false
 			}
 		}
-		if q.aged && !slices.Contains(seen, aged) {
-			seen = append(seen, aged)
-			if t.use[aged] < floor*t.u.cpus {
+		if q.waitedLong && !slices.Contains(seen, waitedLong) {
+			seen = append(seen, waitedLong)
+			if t.use[waitedLong] < floor*t.u.cpus {
 				return q, false
 			}
 		}
@@ -110,11 +110,11 @@
 	t.pick, t.first = t.next(floor)
 	// What the limit holds back must not be passed by smaller tasks of less
 	// important jobs, which would take every bit of room that comes free.
-	for t.pick != nil && !t.takes(&t.pick.j.rec.Spec, floor) {
-		t.pick.spent = true
-		full := !t.u.takes(&t.pick.j.rec.Spec, t.team.CPUsMax, t.team.GPUsMax)
+	for t.pick != nil && !t.takes(&t.pick.j.record.Spec, floor) {
+		t.pick.exhausted = true
+		full := !t.u.takes(&t.pick.j.record.Spec, t.team.CPUsMax, t.team.GPUsMax)
 		for _, o := range t.q {
-			o.spent = o.spent || full && o.rank() > t.pick.rank()
+			o.exhausted = o.exhausted || full && o.rank() > t.pick.rank()
 		}
 		t.pick, t.first = t.next(floor)
 	}
@@ -125,7 +125,7 @@
 	if t.first {
 		t.key[0] = 0
 	}
-	if !t.u.takes(&t.pick.j.rec.Spec, t.team.CPUs, t.team.GPUs) {
+	if !t.u.takes(&t.pick.j.record.Spec, t.team.CPUs, t.team.GPUs) {
 		t.key[1] = 1
 	}
 }
@@ -146,13 +146,13 @@
 	old := l.cfg.Tuning.Queues.StartWithinS
 	for _, ref := range slices.Sorted(maps.Keys(l.jobs)) {
 		j := l.jobs[ref]
-		s := &j.rec.Spec
+		s := &j.record.Spec
 		t := byTeam[s.Team]
 		if t == nil {
 			t = &teamQueue{team: l.teams[s.Team], u: l.use(s.Team), use: map[string]float64{}}
 			byTeam[s.Team] = t
 		}
-		age := (now + l.wall - j.rec.At).Seconds()
+		age := (now + l.wall - j.record.At).Seconds()
 		cpus := float64(len(j.out)) * s.CPUs
 		t.use[s.Class] += cpus
 		if s.Standing() {
@@ -161,7 +161,7 @@
 			t.mixed = true
 		}
 		if age > old {
-			t.use[aged] += cpus
+			t.use[waitedLong] += cpus
 		}
 		switch {
 		case j.nWant == 0:
@@ -173,7 +173,7 @@
 			if wire.Rank(s.Priority) == 0 {
 				t.urgent = append(t.urgent, j)
 			}
-			t.q = append(t.q, &queued{j: j, key: l.queueKey(age, j), aged: age > old})
+			t.q = append(t.q, &queued{j: j, key: l.queueKey(age, j), waitedLong: age > old})
 		}
 	}
 	var out []*teamQueue
--- a/internal/leader/rentals.go
+++ b/internal/leader/rentals.go
@@ -12,7 +12,7 @@
 type fleetTag struct{ key string }
 
 func (l *Leader) loadRental(now clock.Micros, it wire.Item, r FleetRecord) {
-	rt := &rental{key: it.Key, stamp: it.Version, rec: r, since: now}
+	rt := &rental{key: it.Key, stamp: it.Version, record: r, since: now}
 	l.rentals[it.Key] = rt
 	if !r.Asked {
 		// The answer was lost with a former leader; the same name gives the same machines.
@@ -35,7 +35,7 @@
 
 func (l *Leader) writeRental(rt *rental) {
 	rt.busy = true
-	l.commit(store.Starts, fleetTag{rt.key}, []wire.Guard{{Key: rt.key, Version: rt.stamp}}, []wire.Write{put(rt.key, rt.rec)})
+	l.commit(store.Starts, fleetTag{rt.key}, []wire.Guard{{Key: rt.key, Version: rt.stamp}}, []wire.Write{put(rt.key, rt.record)})
 }
 
 // tidyEvery is how long machines that are gone may stay in the roster: there they do
@@ -47,15 +47,15 @@
 
 // tidyRental takes machines that are gone out of the durable roster.
 func (l *Leader) tidyRental(now clock.Micros, rt *rental) {
-	left := slices.DeleteFunc(slices.Clone(rt.rec.Machines), func(n string) bool { return l.gone[n] })
-	if len(left) > 0 && (len(left) == len(rt.rec.Machines) || now-rt.tidied < tidyEvery) {
+	left := slices.DeleteFunc(slices.Clone(rt.record.Machines), func(n string) bool { return l.gone[n] })
+	if len(left) > 0 && (len(left) == len(rt.record.Machines) || now-rt.tidied < tidyEvery) {
 		return
 	}
 	rt.tidied = now
 	if len(left)*rosterBytes > l.valueBytes {
 		return // of the time when values could be larger: it stays as it is until less is left
 	}
-	rt.rec.Machines = left
+	rt.record.Machines = left
 	if len(left) == 0 {
 		delete(l.rentals, rt.key)
 		l.commit(store.Lazy, nil, nil, []wire.Write{{Delete: rt.key}})
@@ -79,12 +79,12 @@
 	if m.Outcome.OK {
 		rt.stamp = m.Outcome.Revision
 	}
-	if !rt.rec.Asked {
+	if !rt.record.Asked {
 		rt.busy, rt.asked = true, now
-		l.emit(Rent{l.epoch, rt.rec.Rental})
+		l.emit(Rent{l.epoch, rt.record.Rental})
 		return
 	}
-	for _, name := range rt.rec.Machines {
+	for _, name := range rt.record.Machines {
 		if !l.gone[name] {
 			l.addMachine(now, name, rt)
 		}
@@ -93,14 +93,14 @@
 
 func (l *Leader) rented(now clock.Micros, m Rented) {
 	rt := l.rentals[FleetPrefix+m.Request]
-	if rt == nil || rt.rec.Asked {
+	if rt == nil || rt.record.Asked {
 		return
 	}
 	switch {
 	case m.Err == nil:
-		rt.rec.Machines, rt.rec.Asked = m.Machines, true
-		l.answered(now, rt, len(m.Machines) < rt.rec.Rental.Count)
-		l.emit(Log{Debug: true, Text: "rented", Args: []any{"request", m.Request, "count", len(m.Machines), "type", rt.rec.Rental.Type, "spot", rt.rec.Rental.Spot}})
+		rt.record.Machines, rt.record.Asked = m.Machines, true
+		l.answered(now, rt, len(m.Machines) < rt.record.Rental.Count)
+		l.emit(Log{Debug: true, Text: "rented", Args: []any{"request", m.Request, "count", len(m.Machines), "type", rt.record.Rental.Type, "spot", rt.record.Rental.Spot}})
 		if len(m.Machines) == 0 {
 			l.tidyRental(now, rt)
 			return
@@ -108,7 +108,7 @@
 		l.writeRental(rt)
 	case m.NoCapacity:
 		l.answered(now, rt, true)
-		rt.rec.Asked = true
+		rt.record.Asked = true
 		l.tidyRental(now, rt)
 	default:
 		// Asked again under the same name, soon.
@@ -119,7 +119,7 @@
 // answered notes whether an option had all that was asked for. One that had not is
 // left alone for a while, longer each time: every try costs puts and cloud calls.
 func (l *Leader) answered(now clock.Micros, rt *rental, short bool) {
-	k := l.option(rt.rec.Rental).Key()
+	k := l.option(rt.record.Rental).Key()
 	if !short {
 		delete(l.refused, k)
 		return
--- a/internal/leader/room.go
+++ b/internal/leader/room.go
@@ -28,7 +28,7 @@
 
 // taken are the machines that a job's next task had better not go to, and why.
 func (r *freeRoom) taken(l *Leader, j *job) map[string]int {
-	s := &j.rec.Spec
+	s := &j.record.Spec
 	on := r.apart[s.Ref]
 	if on == nil {
 		on = map[string]int{}
@@ -96,7 +96,7 @@
 // reserve tells machines that others go before: those at rest, those not worth their price.
 func (m *machine) reserve() int {
 	switch {
-	case m.shun:
+	case m.cordoned:
 		return 2
 	case m.rest:
 		return 1
@@ -108,14 +108,14 @@
 // for a batch is for a service, which makes it worth keeping.
 // What waits for long does not wait for a better one.
 func (m *machine) allowed(now clock.Micros, j *job) bool {
-	s := &j.rec.Spec
-	return (!m.shun || s.Standing() || j.unserved(now)) && (s.Spot || !m.opt.Spot) && (s.Zone == "" || s.Zone == m.opt.Zone) &&
+	s := &j.record.Spec
+	return (!m.cordoned || s.Standing() || j.unserved(now)) && (s.Spot || !m.opt.Spot) && (s.Zone == "" || s.Zone == m.opt.Zone) &&
 		(len(s.Types) == 0 || slices.Contains(s.Types, m.opt.Type.Name))
 }
 
 // first finds the first machine of a list that takes a task of the job.
 func (r *freeRoom) first(list []*machine, k roomKey, j *job) *machine {
-	s := &j.rec.Spec
+	s := &j.record.Spec
 	for i := r.passed[k]; i < len(list); i++ {
 		if m := list[i]; m.holds(s) && m.allowed(r.now, j) {
 			if _, ok := j.errAt[m.name]; !ok {
@@ -131,7 +131,7 @@
 // roomFor finds the machine whose room the next task of a job takes, and the
 // zone that the task is bound to, if any.
 func (l *Leader) roomFor(j *job, room *freeRoom) (*machine, string) {
-	s := &j.rec.Spec
+	s := &j.record.Spec
 	if s.OneZone || s.Spread || s.Standing() {
 		return l.roomInZone(j, room)
 	}
@@ -152,7 +152,7 @@
 
 // roomInZone is roomFor for jobs whose tasks bind each other's place.
 func (l *Leader) roomInZone(j *job, room *freeRoom) (*machine, string) {
-	s := &j.rec.Spec
+	s := &j.record.Spec
 	zones := l.zones(j)
 	avoid := room.taken(l, j)
 	var best *machine
@@ -185,7 +185,7 @@
 }
 
 func (l *Leader) zones(j *job) zones {
-	z := zones{&j.rec.Spec, map[string]int{}}
+	z := zones{&j.record.Spec, map[string]int{}}
 	if !z.job.OneZone && !z.job.Spread {
 		return z
 	}
@@ -197,7 +197,7 @@
 func (l *Leader) eachHeld(j *job, f func(*held)) {
 	for i := range j.out {
 		for _, b := range l.blocks {
-			if h := b.tasks[peer.Task{Job: j.rec.Spec.Ref, Index: i}]; h != nil {
+			if h := b.tasks[peer.Task{Job: j.record.Spec.Ref, Index: i}]; h != nil {
 				f(h)
 			}
 		}
--- a/internal/leader/schedule.go
+++ b/internal/leader/schedule.go
@@ -8,9 +8,9 @@
 	"swiftledge/internal/peer"
 )
 
-// gather is how long room that comes free is collected before it is offered, so
+// batchDelay is how long room that comes free is collected before it is offered, so
 // that one start record serves several tasks. New jobs do not wait for it.
-const gather = 120 * clock.Millisecond
+const batchDelay = 120 * clock.Millisecond
 
 // batch is how many tasks of a job go at once before another's turn is looked at.
 const batch = 8
@@ -24,12 +24,12 @@
 // schedule hands waiting tasks to blocks with room: teams in turn by their
 // shares, guarantees first.
 func (l *Leader) schedule(now clock.Micros) {
-	if !l.stirred || !l.urgent && now-l.lastSchedule < gather || !l.current(now) {
+	if !l.stirred || !l.urgent && now-l.lastSchedule < batchDelay || !l.current(now) {
 		return
 	}
 	// Until every block's start records are read, a task that waits here may run
 	// in one of them, and the teams' use is not known.
-	if slices.ContainsFunc(l.blocks, func(b *lblock) bool { return !b.known }) {
+	if slices.ContainsFunc(l.blocks, func(b *leasedBlock) bool { return !b.known }) {
 		return
 	}
 	l.stirred, l.urgent = false, false
@@ -65,16 +65,16 @@
 		best.known = false
 		given := l.give(now, best, job.j, room, offers, n)
 		if given == 0 {
-			job.spent = true
+			job.exhausted = true
 			continue
 		}
-		cpus := float64(given) * job.j.rec.Spec.CPUs
-		if job.j.rec.Spec.Standing() {
+		cpus := float64(given) * job.j.record.Spec.CPUs
+		if job.j.record.Spec.Standing() {
 			best.standing += cpus
 		}
-		best.use[job.j.rec.Spec.Class] += cpus
-		if job.aged {
-			best.use[aged] += cpus
+		best.use[job.j.record.Spec.Class] += cpus
+		if job.waitedLong {
+			best.use[waitedLong] += cpus
 		}
 	}
 	for _, b := range l.blocks {
@@ -88,7 +88,7 @@
 
 // give hands up to n tasks of a job to one machine's block and says how many.
 func (l *Leader) give(now clock.Micros, t *teamQueue, j *job, room *freeRoom, offers map[offerKey]int, n int) int {
-	s := &j.rec.Spec
+	s := &j.record.Spec
 	m, zone := l.roomFor(j, room)
 	if m == nil {
 		return 0
@@ -131,4 +131,6 @@
 	return given
 }
 
-func (l *Leader) blockOf(machine string) *lblock { return l.blocks[block.Of(machine, len(l.blocks))] }
+func (l *Leader) blockOf(machine string) *leasedBlock {
+	return l.blocks[block.Of(machine, len(l.blocks))]
+}
--- a/internal/node/elector.go
+++ b/internal/node/elector.go
@@ -66,7 +66,7 @@
 		n.leader <- leader.Deposed{}
 	case election.Follow:
 		n.log.Info("following", "leader", x.Node, "epoch", x.Epoch)
-		n.desk.Post(api.Following{Epoch: x.Epoch, Node: x.Node})
+		n.directory.Post(api.Following{Epoch: x.Epoch, Node: x.Node})
 		if x.Epoch > 0 {
 			go n.follow(ctx, x.Epoch, x.Node)
 		}
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -44,7 +44,7 @@
 		case *peer.Link:
 			l.Send(&x.Down)
 		case localLink:
-			n.desk.Post(&x.Down)
+			n.directory.Post(&x.Down)
 			n.holder <- &x.Down
 		}
 	case leader.Load:
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -31,37 +31,37 @@
 		n.log.Error("leader is not among the known controllers", "leader", name)
 		return
 	}
-	for fails := 0; ctx.Err() == nil && n.desk.Epoch() == epoch; {
+	for fails := 0; ctx.Err() == nil && n.directory.Epoch() == epoch; {
 		l, err := peer.Dial(addr, peer.Hello{Node: n.cfg.Name, Run: n.run, Epoch: epoch})
 		switch {
 		case err == nil:
 			fails = 0
-			n.desk.Post(api.Met{})
+			n.directory.Post(api.PeerReached{})
 			n.linked(epoch, l)
 			continue
 		case errors.Is(err, peer.ErrNotLeading):
-			n.desk.Post(api.Met{})
+			n.directory.Post(api.PeerReached{})
 		default:
 			fails++
 		}
 		n.log.Debug("cannot reach the leader", "error", err)
-		if fails >= usual {
+		if fails >= dialFailuresBeforeRelay {
 			fails = 0
-			n.letters(ctx, epoch, name, addr)
+			n.followByRelay(ctx, epoch, name, addr)
 			continue
 		}
 		time.Sleep(200*time.Millisecond + rand.N(100*time.Millisecond))
 	}
 }
 
-// usual is how often in a row the leader may be out of reach before letters are tried.
-const usual = 4
+// dialFailuresBeforeRelay is how often in a row the leader may be out of reach before frames are tried.
+const dialFailuresBeforeRelay = 4
 
-// letters speaks to the leader through the state service until it can be reached again.
-func (n *Node) letters(ctx context.Context, epoch uint64, name, addr string) {
-	l, err := n.office.Dial(ctx, name, peer.Hello{Node: n.cfg.Name, Run: n.run, Epoch: epoch})
+// followByRelay speaks to the leader through the state service until it can be reached again.
+func (n *Node) followByRelay(ctx context.Context, epoch uint64, name, addr string) {
+	l, err := n.relay.Dial(ctx, name, peer.Hello{Node: n.cfg.Name, Run: n.run, Epoch: epoch})
 	if err != nil {
-		n.log.Debug("no answer to letters", "leader", name, "error", err)
+		n.log.Debug("no answer to frames", "leader", name, "error", err)
 		return
 	}
 	n.log.Info("linked through the state service", "leader", name)
@@ -88,8 +88,8 @@
 func (n *Node) linked(epoch uint64, l *peer.Link) {
 	n.holder <- holderUp{epoch, l}
 	l.Follow(func(d *peer.Down) {
-		n.desk.Post(api.Met{})
-		n.desk.Post(d)
+		n.directory.Post(api.PeerReached{})
+		n.directory.Post(d)
 		n.holder <- d
 	})
 	n.holder <- holderDown{epoch, l}
@@ -109,7 +109,7 @@
 
 func (n *Node) acceptPeer(c net.Conn, slow bool) {
 	peer.Accept(c, slow, peer.Hello{Node: n.cfg.Name, Run: n.run}, func(h peer.Hello) bool {
-		n.desk.Post(api.Met{})
+		n.directory.Post(api.PeerReached{})
 		q := askEpoch{make(chan uint64, 1)}
 		n.elector <- q
 		epoch := <-q.answer
@@ -117,7 +117,7 @@
 	}, func(l *peer.Link) {
 		n.leader <- leader.Joined{Node: l.Peer.Node, Run: l.Peer.Run, Link: l, Slow: slow}
 	}, func(l *peer.Link, u *peer.Up) {
-		n.desk.Post(api.Met{})
+		n.directory.Post(api.PeerReached{})
 		n.leader <- leader.Said{Node: l.Peer.Node, Link: l, Up: u}
 	}, func(l *peer.Link) {
 		n.leader <- leader.Left{Node: l.Peer.Node, Link: l}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,17 +32,17 @@
 
 // Node is one controller.
 type Node struct {
-	cfg     *config.Config
-	log     *slog.Logger
-	clock   clock.Steady
-	run     uint64
-	store   *store.Client
-	health  *health
-	cloud   *cloud.Client
-	workers *fasthttp.Client
-	dialled dialled
-	desk    *api.Desk
-	office  *peer.Office
+	cfg       *config.Config
+	log       *slog.Logger
+	clock     clock.Steady
+	run       uint64
+	store     *store.Client
+	health    *health
+	cloud     *cloud.Client
+	workers   *fasthttp.Client
+	dialled   dialled
+	directory *api.Directory
+	relay     *peer.Relay
 
 	elector, leader, holder mailbox
 	cloudWork               chan func()
@@ -61,8 +61,8 @@
 		RetryIfErr:               func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		NoDefaultUserAgentHeader: true, ReadBufferSize: 2048, WriteBufferSize: 2048,
 		Dial: n.dialled.dial}
-	n.desk = api.NewDesk(cfg, n.clock.Now)
-	n.office = peer.NewOffice(cfg.Name, n.store, cfg.ValueBytes(), peer.LetterGap)
+	n.directory = api.NewDirectory(cfg, n.clock.Now)
+	n.relay = peer.NewRelay(cfg.Name, n.store, cfg.ValueBytes(), peer.FrameInterval)
 	return n
 }
 
@@ -99,9 +99,9 @@
 	}
 	go n.watchLeader(ctx)
 	go n.acceptPeers(back)
-	go n.office.Run(ctx, func(c net.Conn) { go n.acceptPeer(c, true) })
-	go n.desk.Run(ctx)
-	svc := api.New(n.cfg, n.store, store.Pause, n.desk, n.health.ok, n.report, clock.Wall, n.log)
+	go n.relay.Run(ctx, func(c net.Conn) { go n.acceptPeer(c, true) })
+	go n.directory.Run(ctx)
+	svc := api.New(n.cfg, n.store, store.Pause, n.directory, n.health.ok, n.report, clock.Wall, n.log)
 	n.log.Info("serving", "node", n.cfg.Name, "on", n.cfg.ServeOn)
 	return svc.Serve(front)
 }
--- a/internal/peer/letter_test.go
+++ b/internal/peer/frame_test.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// Letters between two versions: testdata/letter.json is one that the version in production
+// Frames between two versions: testdata/frame.json is one that the version in production
 // (deploy/service.toml) wrote, and frozen is how it reads them.
 func TestLettersCrossVersions(t *testing.T) {
 	type frozen struct {
@@ -20,27 +20,27 @@
 		Data []byte `json:"d,omitempty"`
 		End  bool   `json:"e,omitempty"`
 	}
-	raw, err := os.ReadFile("testdata/letter.json")
+	raw, err := os.ReadFile("testdata/frame.json")
 	if err != nil {
 		t.Fatal(err)
 	}
-	var ours letter
+	var ours frame
 	if err := json.Unmarshal(raw, &ours); err != nil {
 		t.Fatal(err)
 	}
-	if want := (letter{Conn: 77, Open: true, Seq: 3, Ack: 2, Data: []byte("abc"), End: true}); !reflect.DeepEqual(ours, want) {
-		t.Errorf("production's letter is read as %+v", ours)
+	if want := (frame{Conn: 77, Open: true, Seq: 3, Ack: 2, Data: []byte("abc"), End: true}); !reflect.DeepEqual(ours, want) {
+		t.Errorf("production's frame is read as %+v", ours)
 	}
 	if raw, err = json.Marshal(ours); err != nil {
 		t.Fatal(err)
 	}
 	var old frozen
 	if err := json.Unmarshal(raw, &old); err != nil || !reflect.DeepEqual(old, frozen(ours)) {
-		t.Errorf("our letter is read as %+v, %v", old, err)
+		t.Errorf("our frame is read as %+v, %v", old, err)
 	}
 }
 
-// A message that needs many letters, each in time, must not break the link: at the lowered
+// A message that needs many frames, each in time, must not break the link: at the lowered
 // limits a large grant takes longer than a link may be silent.
 func TestSlowLinksWaitForPiecesNotForWholes(t *testing.T) {
 	a, b := pipe(t)
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -29,17 +29,17 @@
 }
 
 // source is what messages are read from. Through the state service a large message comes in
-// many letters: there each piece of it, not the whole, has to come in time.
+// many frames: there each piece of it, not the whole, has to come in time.
 func source(c net.Conn, slow bool) *bufio.Reader {
 	if slow {
-		return bufio.NewReaderSize(trickle{c}, 8192)
+		return bufio.NewReaderSize(progressConn{c}, 8192)
 	}
 	return bufio.NewReaderSize(c, 8192)
 }
 
-type trickle struct{ net.Conn }
+type progressConn struct{ net.Conn }
 
-func (t trickle) Read(p []byte) (int, error) {
+func (t progressConn) Read(p []byte) (int, error) {
 	t.Conn.SetReadDeadline(time.Now().Add(relayTimeout))
 	return t.Conn.Read(p)
 }
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -14,20 +14,20 @@
 	"swiftledge/wire"
 )
 
-// MailPrefix is where controllers that cannot connect leave letters for each other.
-const MailPrefix = "mail/"
+// RelayPrefix is where controllers that cannot connect leave frames for each other.
+const RelayPrefix = "mail/"
 
-// Mail is what the post office needs of the state service.
-type Mail interface {
+// FrameStore is what the relay needs of the state service.
+type FrameStore interface {
 	Get(ctx context.Context, prio int, key string) (wire.Item, error)
 	Once(ctx context.Context, prio int, t wire.Txn) (store.Outcome, error)
 	List(ctx context.Context, prio int, prefix string) ([]wire.Item, uint64, error)
 	Watch(ctx context.Context, prefix string, since uint64, block clock.Micros) (wire.WatchAnswer, error)
 }
 
-// letter is the value of mail/<to>/<from>: a piece of a connection's bytes, written
+// frame is the value of mail/<to>/<from>: a piece of a connection's bytes, written
 // over with the next one once the other side has it.
-type letter struct {
+type frame struct {
 	Conn uint64 `json:"c"`           // chosen by who opens the connection
 	Open bool   `json:"o,omitempty"` // from its opener
 	Seq  int    `json:"n"`
@@ -36,23 +36,23 @@
 	End  bool   `json:"e,omitempty"`
 }
 
-// LetterGap is the usual pause between two letters of a connection: each costs a put.
-const LetterGap = time.Second
+// FrameInterval is the usual pause between two frames of a connection: each costs a put.
+const FrameInterval = time.Second
 
 // endTries is how often the end of a connection is written; the other side would
 // notice only after relayTimeout else.
 const endTries = 8
 
-// mostPending bounds what waits for its letter.
+// mostPending bounds what waits for its frame.
 const mostPending = 256 << 10
 
-// Office is the actor that carries connections between controllers through the state
+// Relay is the actor that carries connections between controllers through the state
 // service while they cannot reach each other directly. It is slow and costs puts, but
 // else the machines of all who do not lead stand idle.
-type Office struct {
+type Relay struct {
 	me    string
-	mail  Mail
-	bytes int // of data in one letter
+	mail  FrameStore
+	bytes int // of data in one frame
 	gap   time.Duration
 	calls chan any
 }
@@ -60,11 +60,11 @@
 type (
 	opened struct {
 		to   string
-		conn *relayed
+		conn *relayConn
 	}
 	arrived struct {
 		from string
-		l    letter
+		l    frame
 	}
 	ended struct {
 		from string
@@ -72,37 +72,37 @@
 	}
 )
 
-// NewOffice makes an office; Run serves it. bytes is the most that a value may hold.
-func NewOffice(me string, mail Mail, bytes int, gap time.Duration) *Office {
-	return &Office{me: me, mail: mail, bytes: (bytes - 200) * 3 / 4, gap: gap, calls: make(chan any, 64)}
+// NewRelay makes a relay; Run serves it. bytes is the most that a value may hold.
+func NewRelay(me string, mail FrameStore, bytes int, gap time.Duration) *Relay {
+	return &Relay{me: me, mail: mail, bytes: (bytes - 200) * 3 / 4, gap: gap, calls: make(chan any, 64)}
 }
 
-// relayed is one connection; pump owns its state.
-type relayed struct {
-	id      uint64
-	to      string
-	opener  bool
-	letters chan letter
+// relayConn is one connection; pump owns its state.
+type relayConn struct {
+	id     uint64
+	to     string
+	opener bool
+	frames chan frame
 }
 
 // Open begins a connection to another controller. Nothing tells whether it is there
 // until it answers.
-func (o *Office) Open(ctx context.Context, to string) net.Conn {
-	r := &relayed{id: rand.Uint64(), to: to, opener: true, letters: make(chan letter, 16)}
+func (o *Relay) Open(ctx context.Context, to string) net.Conn {
+	r := &relayConn{id: rand.Uint64(), to: to, opener: true, frames: make(chan frame, 16)}
 	o.calls <- opened{to, r}
 	return o.start(ctx, r)
 }
 
-func (o *Office) start(ctx context.Context, r *relayed) net.Conn {
+func (o *Relay) start(ctx context.Context, r *relayConn) net.Conn {
 	ours, theirs := net.Pipe()
 	go o.pump(ctx, r, ours)
 	return theirs
 }
 
-// Run takes in letters and hands connections that others open to accept.
-func (o *Office) Run(ctx context.Context, accept func(net.Conn)) {
+// Run takes in frames and hands connections that others open to accept.
+func (o *Relay) Run(ctx context.Context, accept func(net.Conn)) {
 	go o.watch(ctx)
-	conns := map[string]*relayed{}
+	conns := map[string]*relayConn{}
 	for {
 		var call any
 		select {
@@ -124,22 +124,22 @@
 				if !c.l.Open || c.l.Seq != 1 || c.l.Ack != 0 || c.l.End {
 					continue
 				}
-				r = &relayed{id: c.l.Conn, to: c.from, letters: make(chan letter, 16)}
+				r = &relayConn{id: c.l.Conn, to: c.from, frames: make(chan frame, 16)}
 				conns[c.from] = r
 				accept(o.start(ctx, r))
 			}
 			select {
-			case r.letters <- c.l:
+			case r.frames <- c.l:
 			default: // it is written again until it is acknowledged
 			}
 		}
 	}
 }
 
-// watch reads the letters to us. Those left from before are written again by whoever
+// watch reads the frames to us. Those left from before are written again by whoever
 // still waits.
-func (o *Office) watch(ctx context.Context) {
-	prefix := MailPrefix + o.me + "/"
+func (o *Relay) watch(ctx context.Context) {
+	prefix := RelayPrefix + o.me + "/"
 	for n := 0; ctx.Err() == nil; n++ {
 		_, rev, err := o.mail.List(ctx, store.Normal, prefix)
 		for err == nil && ctx.Err() == nil {
@@ -149,7 +149,7 @@
 			}
 			n = 0
 			for _, e := range a.Events {
-				var l letter
+				var l frame
 				if e.Put != "" && json.Unmarshal(e.Value, &l) == nil {
 					o.calls <- arrived{strings.TrimPrefix(e.Put, prefix), l}
 				}
@@ -161,7 +161,7 @@
 }
 
 // pump carries one connection's bytes; c is our end of its pipe.
-func (o *Office) pump(ctx context.Context, r *relayed, c net.Conn) {
+func (o *Relay) pump(ctx context.Context, r *relayConn, c net.Conn) {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	defer c.Close()
@@ -187,8 +187,8 @@
 			}
 		}
 	}()
-	key := MailPrefix + r.to + "/" + o.me
-	l := letter{Conn: r.id, Open: r.opener}
+	key := RelayPrefix + r.to + "/" + o.me
+	l := frame{Conn: r.id, Open: r.opener}
 	var pending []byte
 	var version uint64
 	known, due := false, false
@@ -215,7 +215,7 @@
 				return
 			}
 			pending = append(pending, b...)
-		case got := <-r.letters:
+		case got := <-r.frames:
 			if got.End {
 				return
 			}
@@ -248,18 +248,18 @@
 			l.Seq++
 			due = true
 		}
-		// Unacknowledged pieces are written again now and then, in case a letter was missed.
+		// Unacknowledged pieces are written again now and then, in case a frame was missed.
 		if due || l.Data != nil && time.Since(last) > 3*o.gap {
 			due, writing, last = false, true, time.Now()
 			// The goroutine owns version and known until it has answered.
-			go func(l letter) { written <- o.write(ctx, key, l, &version, &known) }(l)
+			go func(l frame) { written <- o.write(ctx, key, l, &version, &known) }(l)
 		}
 	}
 }
 
-// write puts a letter over the last one, guarded on its version: a copy that is
+// write puts a frame over the last one, guarded on its version: a copy that is
 // applied late must not bring an older piece back.
-func (o *Office) write(ctx context.Context, key string, l letter, version *uint64, known *bool) bool {
+func (o *Relay) write(ctx context.Context, key string, l frame, version *uint64, known *bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
 	defer cancel()
 	if !*known {
@@ -283,6 +283,6 @@
 }
 
 // Dial links a follower to the leader through the state service.
-func (o *Office) Dial(ctx context.Context, to string, h Hello) (*Link, error) {
+func (o *Relay) Dial(ctx context.Context, to string, h Hello) (*Link, error) {
 	return greet(o.Open(ctx, to), to, h, true)
 }
--- a/internal/scenario/network.go
+++ b/internal/scenario/network.go
@@ -205,8 +205,8 @@
 		to := w.nodes[i]
 		away := to.away(n)
 		if to.alive && !away && to != n {
-			n.desk.Post(api.Met{})
-			to.desk.Post(api.Met{})
+			n.directory.Post(api.PeerReached{})
+			to.directory.Post(api.PeerReached{})
 		}
 		if !to.alive || to.elector.Epoch() != epoch || away {
 			w.after(300*clock.Millisecond, n.still(func() { n.follow(epoch, name) }))
--- a/internal/scenario/node.go
+++ b/internal/scenario/node.go
@@ -39,7 +39,7 @@
 	elector     *election.Elector
 	leader      *leader.Leader
 	holder      *block.Holder
-	desk        *api.Desk
+	directory   *api.Directory
 	svc         *api.Service
 	epoch       uint64 // that it follows
 	link        *simLink
@@ -62,9 +62,9 @@
 	n.elector = election.New(election.Record{Node: n.name, Run: uint64(n.gen)*100 + uint64(n.i)}, clock.FromSeconds(n.cfg.Tuning.Election.TTLS))
 	n.leader = leader.New(&n.cfg, ok)
 	n.holder = block.FromConfig(&n.cfg, ok)
-	n.desk = api.NewDesk(&n.cfg, func() clock.Micros { return n.w.now })
-	go n.desk.Run(n.w.ctx)
-	n.svc = api.New(&n.cfg, n, func(_ context.Context, try int) bool { return try < 3 }, n.desk, ok, nil, func() clock.Micros { return n.w.now }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	n.directory = api.NewDirectory(&n.cfg, func() clock.Micros { return n.w.now })
+	go n.directory.Run(n.w.ctx)
+	n.svc = api.New(&n.cfg, n, func(_ context.Context, try int) bool { return try < 3 }, n.directory, ok, nil, func() clock.Micros { return n.w.now }, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	n.look()
 }
 
@@ -181,7 +181,7 @@
 		n.jobEpoch = 0
 		n.leaderStep(leader.Deposed{})
 	case election.Follow:
-		n.desk.Post(api.Following{Epoch: x.Epoch, Node: x.Node})
+		n.directory.Post(api.Following{Epoch: x.Epoch, Node: x.Node})
 		n.epoch = x.Epoch
 		if x.Epoch > 0 {
 			n.follow(x.Epoch, x.Node)
@@ -311,9 +311,9 @@
 	case leader.Tell:
 		l := x.Link.(*simLink)
 		l.carry(l.follower, func() {
-			l.follower.desk.Post(api.Met{})
-			l.leader.desk.Post(api.Met{})
-			l.follower.desk.Post(&x.Down)
+			l.follower.directory.Post(api.PeerReached{})
+			l.leader.directory.Post(api.PeerReached{})
+			l.follower.directory.Post(&x.Down)
 			l.follower.holderStep(&x.Down)
 		})
 	case leader.Load:
