--- a/internal/block/cycle.go
+++ b/internal/block/cycle.go
@@ -265,7 +265,7 @@
 	cmds := map[*machine][]wire.Command{}
 	for _, r := range w.recs {
 		mc := r.m
-		if !m.OK || r.stop > 0 || now >= b.expires || mc.gone || mc.lost || mc.session != r.session {
+		if !m.OK || r.stop != goOn || now >= b.expires || mc.gone || mc.lost || mc.session != r.session {
 			// Never ordered: it can run nowhere.
 			b.lose(r, peer.Back)
 			continue
--- a/internal/block/dialogue.go
+++ b/internal/block/dialogue.go
@@ -91,7 +91,7 @@
 
 func (r *taskAttempt) kill() wire.Command {
 	grace := 0.0
-	if r.stop == 1 {
+	if r.stop == stopWithSave {
 		grace = graceFor(r.group.SaveS)
 	}
 	return wire.Command{Op: wire.Kill, Task: TaskName(r.task), Attempt: r.attempt, GraceS: &grace}
@@ -239,7 +239,7 @@
 		// Not fenced yet: an older holder's commands may still be carried out, so it proves
 		// nothing. But the answer renews the lease, so it ends what is to be stopped.
 		for _, t := range r.Tasks {
-			if rc := m.find(t.Attempt); rc != nil && rc.stop > 0 && t.State != wire.Exited {
+			if rc := m.find(t.Attempt); rc != nil && rc.stop != goOn && t.State != wire.Exited {
 				cmds = append(cmds, rc.kill())
 			}
 		}
@@ -287,7 +287,7 @@
 		}
 		if h.absent(m, rc, beat) {
 			b.lose(rc, peer.Back)
-		} else if rc.state == ordered && rc.stop == 0 {
+		} else if rc.state == ordered && rc.stop == goOn {
 			// The direct order has not been seen: the same one again does no harm.
 			cmds = append(cmds, rc.run())
 		}
@@ -306,7 +306,7 @@
 		return false // the order may be carried out yet
 	case rc.state == shown:
 		return false // a worker never drops a task by itself within a session
-	case rc.state == ordered && (rc.stop == 0 || !beat):
+	case rc.state == ordered && (rc.stop == goOn || !beat):
 		// No direct order is on its way. One in a report's answer is carried out
 		// or dropped before the worker's next report of its own.
 		return false
@@ -328,10 +328,10 @@
 			m.images.Use(rc.group.Image, rc.group.ImageGB, h.types[m.typ].CacheGB)
 			b.events = append(b.events, peer.Event{Task: rc.task, Kind: peer.Running, Machine: m.name})
 		}
-		if rc.stop == 1 && now > rc.stopAt+clock.FromSeconds(graceFor(rc.group.SaveS)) {
-			rc.stop = 2
+		if rc.stop == stopWithSave && now > rc.stopAt+clock.FromSeconds(graceFor(rc.group.SaveS)) {
+			rc.stop = stopAtOnce
 		}
-		if rc.stop > 0 {
+		if rc.stop != goOn {
 			cmds = append(cmds, rc.kill())
 		}
 		return cmds
@@ -376,7 +376,7 @@
 // cancelled; any other stays listed until the machine has shown a higher token
 // than the order's, which it obeys no more.
 func (r *taskAttempt) forgettable() bool {
-	return r.stored && r.inflight == 0 && (!r.direct || r.done && r.stop == 0)
+	return r.stored && r.inflight == 0 && (!r.direct || r.done && r.stop == goOn)
 }
 
 // lingering is how many attempts that may not be forgotten yet a block keeps
--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -128,6 +128,7 @@
 	}
 }
 
+// orders carries out what the leader says of a block.
 func (h *Holder) orders(now clock.Micros, b *heldBlock, o peer.BlockOrders) {
 	for _, name := range o.Use {
 		m := b.machine(name)
@@ -140,17 +141,7 @@
 		b.mark(m)
 	}
 	for _, name := range o.Gone {
-		m := b.machine(name)
-		m.gone = true
-		b.mark(m)
-		for _, r := range slices.Clone(m.recs) {
-			if r.state == recording {
-				r.stop = 2
-			} else {
-				b.lose(r, peer.Back)
-			}
-		}
-		h.book.Drop(name)
+		h.removeMachine(b, b.machine(name))
 	}
 	for _, t := range o.Stored {
 		for _, r := range b.byTask[t] {
@@ -166,40 +157,65 @@
 	for _, name := range o.Wake {
 		b.machine(name).rest = false
 	}
+	h.stopTasks(now, b, o.Stop)
+	if len(o.Offers) > 0 {
+		h.cycle(now, b, o.Offers)
+		b.taken = o.Seq
+		if b.writing == nil {
+			b.seq, b.tell = o.Seq, true
+		}
+	}
+}
+
+// removeMachine takes in that a machine is deleted: nothing runs there any more.
+func (h *Holder) removeMachine(b *heldBlock, m *machine) {
+	m.gone = true
+	b.mark(m)
+	for _, r := range slices.Clone(m.recs) {
+		if r.state == recording {
+			r.stop = stopAtOnce
+		} else {
+			b.lose(r, peer.Back)
+		}
+	}
+	h.book.Drop(m.name)
+}
+
+// stopTasks ends all attempts of tasks, with one direct command to each machine.
+func (h *Holder) stopTasks(now clock.Micros, b *heldBlock, tasks []peer.StopTask) {
 	var stopped []*machine
-	stops := map[*machine][]wire.Command{}
-	for _, s := range o.Stop {
+	kills := map[*machine][]wire.Command{}
+	for _, s := range tasks {
 		for _, r := range b.byTask[s.Task] {
-			how := 2
-			if s.Save && r.group.Ckpt > 0 {
-				how = 1
-			}
-			if r.stop >= how {
-				continue
-			}
-			if r.state == exited {
-				r.stop = how // a late copy of its order must find it listed still
+			if !r.toStop(now, s.Save) {
 				continue
 			}
-			r.stop, r.stopAt = how, now
-			if r.state != recording {
-				if stops[r.m] == nil {
-					stopped = append(stopped, r.m)
-				}
-				stops[r.m] = append(stops[r.m], r.kill())
+			if kills[r.m] == nil {
+				stopped = append(stopped, r.m)
 			}
+			kills[r.m] = append(kills[r.m], r.kill())
 		}
 	}
 	for _, m := range stopped {
-		h.direct(b, m, stops[m])
+		h.direct(b, m, kills[m])
 	}
-	if len(o.Offers) > 0 {
-		h.cycle(now, b, o.Offers)
-		b.taken = o.Seq
-		if b.writing == nil {
-			b.seq, b.tell = o.Seq, true
-		}
+}
+
+// toStop notes that an attempt is to end, and says whether its worker is to be told now.
+func (r *taskAttempt) toStop(now clock.Micros, save bool) bool {
+	how := stopAtOnce
+	if save && r.group.Ckpt > 0 {
+		how = stopWithSave
+	}
+	if r.stop >= how {
+		return false
+	}
+	r.stop = how
+	if r.state == exited {
+		return false // a late copy of its order must find it listed still
 	}
+	r.stopAt = now
+	return r.state != recording
 }
 
 // fit says whether a machine can be given tasks now. One that only answers commands, while
--- a/internal/block/state.go
+++ b/internal/block/state.go
@@ -18,6 +18,15 @@
 	exited
 )
 
+// stopMode says whether an attempt is to end; the later ones overrule the earlier.
+type stopMode int
+
+const (
+	goOn stopMode = iota
+	stopWithSave
+	stopAtOnce
+)
+
 // taskAttempt is one attempt that may be on a machine.
 type taskAttempt struct {
 	task      peer.Task
@@ -34,7 +43,7 @@
 	running   bool
 	done      bool // it exited with its result kept
 	startedAt clock.Micros
-	stop      int // 0 no, 1 with time to save, 2 at once
+	stop      stopMode
 	stopAt    clock.Micros
 	told      bool // the leader has been told how it ended
 	stored    bool // what its end proved is stored
--- a/internal/leader/grants.go
+++ b/internal/leader/grants.go
@@ -171,11 +171,26 @@
 	}
 }
 
-func (l *Leader) records(now clock.Micros, m Records) {
+// records takes in what may run in a block, from its start records, and grants the block to its
+// holder, if it has one.
+func (l *Leader) records(m Records) {
 	b := l.blocks[m.Block]
 	if b.state != reading || b.token != m.Token {
 		return
 	}
+	l.chargeRecords(b, m.Pages)
+	b.known = true
+	if b.link == nil {
+		b.state = loose // it waits for a holder
+		return
+	}
+	b.state, b.homeless = granted, 0
+	l.tellGrant(b, m.Pages)
+	l.emit(Log{Debug: true, Text: "block granted", Args: []any{"block", b.id, "holder", b.holder, "token", b.token, "tasks", len(b.tasks)}})
+}
+
+// chargeRecords replaces what counts as running in a block by what its start records name.
+func (l *Leader) chargeRecords(b *leasedBlock, pages map[string]peer.RecordPage) {
 	old := b.tasks
 	b.tasks = map[peer.Task]*held{}
 	b.unstored = nil
@@ -184,75 +199,72 @@
 	for _, h := range old {
 		l.charge(h, -1)
 	}
-	for _, pg := range m.Pages {
-		for i := range pg.Groups {
-			g := &pg.Groups[i]
-			records, err := pg.Records(g)
+	for _, key := range slices.Sorted(maps.Keys(pages)) {
+		page := pages[key]
+		for i := range page.Groups {
+			group := &page.Groups[i]
+			records, err := page.Records(group)
 			if err != nil {
 				l.info("start records", "error", err) // not reached: pages are checked when read
 			}
 			for _, r := range records {
-				t := peer.Task{Job: g.Job, Index: r.Index}
-				if b.tasks[t] != nil {
-					continue
-				}
-				h := &held{team: g.Team, cpus: g.CPUs, gpus: g.GPUs, machine: r.Machine, inherited: true}
-				if mc := l.machines[r.Machine]; mc != nil {
-					h.zone = mc.opt.Zone
-				}
-				b.tasks[t] = h
-				l.charge(h, 1)
-				j := l.jobs[t.Job]
-				if old[t] == nil && j != nil {
-					j.takeOut(t.Index)
-				}
-				if j == nil || j.cancelled {
-					b.orders.Stop = append(b.orders.Stop, peer.StopTask{Task: t})
-				}
+				l.chargeRecord(b, group, r, old)
 			}
 		}
 	}
 	// What has no record cannot have been started: the record's guard would fail now.
 	for t := range old {
-		if b.tasks[t] == nil {
-			if j := l.jobs[t.Job]; j != nil {
-				j.giveBack(t.Index)
-			}
+		if j := l.jobs[t.Job]; j != nil && b.tasks[t] == nil {
+			j.giveBack(t.Index)
 		}
 	}
-	b.known = true
-	if b.link == nil {
-		b.state = loose // it waits for a holder
+}
+
+// chargeRecord counts one start record. A task of a job that is over or unknown is to be stopped.
+func (l *Leader) chargeRecord(b *leasedBlock, group *peer.RecordGroup, r peer.Record, old map[peer.Task]*held) {
+	t := peer.Task{Job: group.Job, Index: r.Index}
+	if b.tasks[t] != nil {
 		return
 	}
-	b.state, b.homeless = granted, 0
-	var names []string
-	for name, mc := range l.machines {
-		if mc.block == b {
-			names = append(names, name)
-			if mc.drain {
-				b.orders.Drain = append(b.orders.Drain, name)
-			}
-		}
+	h := &held{team: group.Team, cpus: group.CPUs, gpus: group.GPUs, machine: r.Machine, inherited: true}
+	if m := l.machines[r.Machine]; m != nil {
+		h.zone = m.opt.Zone
+	}
+	b.tasks[t] = h
+	l.charge(h, 1)
+	j := l.jobs[t.Job]
+	if old[t] == nil && j != nil {
+		j.takeOut(t.Index)
+	}
+	if j == nil || j.cancelled {
+		b.orders.Stop = append(b.orders.Stop, peer.StopTask{Task: t})
 	}
-	slices.Sort(names)
+}
+
+// tellGrant sends a block's grant to its holder and the new list of holders to all.
+func (l *Leader) tellGrant(b *leasedBlock, pages map[string]peer.RecordPage) {
 	var roster []peer.RosterMachine
-	for _, name := range names {
-		mc := l.machines[name]
-		mc.state.Fit, mc.out = false, false
-		roster = append(roster, peer.RosterMachine{Name: name, Address: mc.address})
+	for _, name := range slices.Sorted(maps.Keys(l.machines)) {
+		m := l.machines[name]
+		if m.block != b {
+			continue
+		}
+		if m.drain {
+			b.orders.Drain = append(b.orders.Drain, name)
+		}
+		m.state.Fit, m.out = false, false
+		roster = append(roster, peer.RosterMachine{Name: name, Address: m.address})
 	}
 	// A controller that linked up before the epoch was loaded knows no types yet.
 	// What is to be stopped comes with the grant: no report may be answered between the two.
 	l.emit(Tell{b.link, peer.Down{Epoch: l.epoch, Holders: l.holders(), Types: l.typeList, Orders: []peer.BlockOrders{b.orders},
-		Grants: []peer.Grant{{Block: b.id, Token: b.token, Stamp: b.stamp, Pages: m.Pages, Machines: roster}}}})
+		Grants: []peer.Grant{{Block: b.id, Token: b.token, Stamp: b.stamp, Pages: pages, Machines: roster}}}})
 	b.orders = peer.BlockOrders{}
 	for _, n := range l.byName() {
 		if n.link != b.link {
 			l.emit(Tell{n.link, peer.Down{Epoch: l.epoch, Holders: l.holders(), Types: l.typeList}})
 		}
 	}
-	l.emit(Log{Debug: true, Text: "block granted", Args: []any{"block", b.id, "holder", b.holder, "token", b.token, "tasks", len(b.tasks)}})
 }
 
 func (l *Leader) charge(h *held, sign float64) {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -224,7 +224,7 @@
 		}
 	case Records:
 		if m.Epoch == l.epoch {
-			l.records(now, m)
+			l.records(m)
 		}
 	case Read:
 		if m.Epoch == l.epoch {
