--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -144,7 +144,7 @@
 		return &queued{j: j, waitedLong: waitedLong}
 	}
 	first, second, old, never := mk("a", false, true), mk("b", false, true), mk("a", true, true), mk("a", true, false)
-	tq := &teamQueue{u: &use{cpus: 100}, q: []*queued{first, second, old, never}, use: map[string]float64{"a": 60, "b": 30, waitedLong: 30}}
+	tq := &teamQueue{u: &use{cpus: 100}, q: []*queued{first, second, old, never}, use: map[string]float64{"a": 60, "b": 30, longWaiting: 30}}
 	for _, c := range []struct {
 		what string
 		set  func()
@@ -153,12 +153,12 @@
 		{"not begun in time", func() {}, never},
 		{"nothing starves", func() { never.exhausted = true }, first},
 		{"a class below its least share", func() { tq.use["b"] = 5 }, second},
-		{"long waits below their least share", func() { tq.use["b"], tq.use[waitedLong] = 30, 5 }, old},
+		{"long waits below their least share", func() { tq.use["b"], tq.use[longWaiting] = 30, 5 }, old},
 		{"nothing of it can be handed out", func() { old.exhausted = true }, first},
 	} {
 		c.set()
 		if got, _ := tq.next(0.1); got != c.want {
-			t.Errorf("%s: job of class %s, waitedLong %t is next", c.what, got.j.record.Spec.Class, got.waitedLong)
+			t.Errorf("%s: job of class %s, waiting for long: %t, is next", c.what, got.j.record.Spec.Class, got.waitedLong)
 		}
 	}
 }
--- a/internal/leader/queue.go
+++ b/internal/leader/queue.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -10,11 +11,35 @@
 	"swiftledge/wire"
 )
 
-// queueKey orders a team's jobs: those that can still be in time before those
-// that cannot, then by priority, then by the latest start that is in time, then
-// by submission. A job without a deadline of its own has that of its class's
-// objective.
-func (l *Leader) queueKey(age float64, j *job) [4]float64 {
+// jobOrder is a job's place among those of its team.
+type jobOrder struct {
+	late bool // it cannot be in time any more
+	rank int  // of its priority, the most important first
+	// With a deadline, the time that is left before it has to begin; without one, what is left to do.
+	slack float64
+	age   float64
+}
+
+// compare orders those that can still be in time before those that cannot, then by priority, then
+// by the latest start that is in time, then by submission.
+func (o jobOrder) compare(x jobOrder) int {
+	return cmp.Or(compareBool(o.late, x.late), cmp.Compare(o.rank, x.rank), cmp.Compare(o.slack, x.slack), cmp.Compare(x.age, o.age))
+}
+
+// compareBool puts false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// order is a job's place in its team's queue. A job without a deadline of its own has that of its
+// class's objective.
+func (l *Leader) order(age float64, j *job) jobOrder {
 	s := &j.record.Spec
 	due := math.Inf(1)
 	if s.DeadlineS != nil {
@@ -28,26 +53,33 @@
 		need = max(need, float64(s.Tasks-j.nDone)*s.CPUs*need/most)
 	}
 	rank := wire.Rank(s.Priority)
-	late := 0.0
-	if rank >= wire.Rank(wire.Standard) && age+need > due {
-		late = 1
-	}
-	third := due - age - need
+	slack := due - age - need
 	if s.DeadlineS == nil {
-		third = need
+		slack = need
 	}
-	return [4]float64{late, float64(rank), third, -age}
+	return jobOrder{late: rank >= wire.Rank(wire.Standard) && age+need > due, rank: rank, slack: slack, age: age}
+}
+
+// teamOrder is a team's place among the others.
+type teamOrder struct {
+	belated        bool // a job of it has not begun in time: it goes first
+	overGuarantee  bool // its next task would be beyond what it is guaranteed
+	rank           int  // of its most important job
+	guaranteeInUse float64
+}
+
+func (o teamOrder) compare(x teamOrder) int {
+	return cmp.Or(compareBool(x.belated, o.belated), compareBool(o.overGuarantee, x.overGuarantee),
+		cmp.Compare(o.rank, x.rank), cmp.Compare(o.guaranteeInUse, x.guaranteeInUse))
 }
 
 type queued struct {
 	j          *job
-	key        [4]float64
+	order      jobOrder
 	waitedLong bool // it has waited long: its kind of job has a least share
 	exhausted  bool // nothing of it can be handed out in this round
 }
 
-func (q *queued) rank() float64 { return q.key[1] }
-
 // teamQueue is one team's jobs in their order.
 type teamQueue struct {
 	team config.Team
@@ -63,11 +95,12 @@
 	// change only when the team is served.
 	pick  *queued
 	first bool
-	key   [4]float64
+	order teamOrder
 	known bool
 }
 
-const waitedLong = ""
+// longWaiting stands among the classes for all jobs that have waited long.
+const longWaiting = ""
 
 // next gives the job whose turn it is. Order alone would starve what always comes
 // last: the largest, those already late, a class of low priority. So a job that has
@@ -88,9 +121,9 @@
 				return q, false
 			}
 		}
-		if q.waitedLong && !slices.Contains(seen, waitedLong) {
-			seen = append(seen, waitedLong)
-			if t.use[waitedLong] < floor*t.u.cpus {
+		if q.waitedLong && !slices.Contains(seen, longWaiting) {
+			seen = append(seen, longWaiting)
+			if t.use[longWaiting] < floor*t.u.cpus {
 				return q, false
 			}
 		}
@@ -114,19 +147,18 @@
 		t.pick.exhausted = true
 		full := !t.u.takes(&t.pick.j.record.Spec, t.team.CPUsMax, t.team.GPUsMax)
 		for _, o := range t.q {
-			o.exhausted = o.exhausted || full && o.rank() > t.pick.rank()
+			o.exhausted = o.exhausted || full && o.order.rank > t.pick.order.rank
 		}
 		t.pick, t.first = t.next(floor)
 	}
 	if t.pick == nil {
 		return
 	}
-	t.key = [4]float64{1, 0, t.q[0].rank(), t.u.cpus / max(t.team.CPUs, 1)}
-	if t.first {
-		t.key[0] = 0
-	}
-	if !t.u.takes(&t.pick.j.record.Spec, t.team.CPUs, t.team.GPUs) {
-		t.key[1] = 1
+	t.order = teamOrder{
+		belated:        t.first,
+		overGuarantee:  !t.u.takes(&t.pick.j.record.Spec, t.team.CPUs, t.team.GPUs),
+		rank:           t.q[0].order.rank,
+		guaranteeInUse: t.u.cpus / max(t.team.CPUs, 1),
 	}
 }
 
@@ -161,7 +193,7 @@
 			t.mixed = true
 		}
 		if age > old {
-			t.use[waitedLong] += cpus
+			t.use[longWaiting] += cpus
 		}
 		switch {
 		case j.nWant == 0:
@@ -173,13 +205,13 @@
 			if wire.Rank(s.Priority) == 0 {
 				t.urgent = append(t.urgent, j)
 			}
-			t.q = append(t.q, &queued{j: j, key: l.queueKey(age, j), waitedLong: age > old})
+			t.q = append(t.q, &queued{j: j, order: l.order(age, j), waitedLong: age > old})
 		}
 	}
 	var out []*teamQueue
 	for _, name := range slices.Sorted(maps.Keys(byTeam)) {
 		if t := byTeam[name]; len(t.q) > 0 {
-			slices.SortStableFunc(t.q, func(a, b *queued) int { return slices.Compare(a.key[:], b.key[:]) })
+			slices.SortStableFunc(t.q, func(a, b *queued) int { return a.order.compare(b.order) })
 			out = append(out, t)
 		}
 	}
--- a/internal/leader/schedule.go
+++ b/internal/leader/schedule.go
@@ -51,7 +51,7 @@
 	for {
 		var best *teamQueue
 		for _, t := range queues {
-			if t.settle(floor); t.pick != nil && (best == nil || slices.Compare(t.key[:], best.key[:]) < 0) {
+			if t.settle(floor); t.pick != nil && (best == nil || t.order.compare(best.order) < 0) {
 				best = t
 			}
 		}
@@ -74,7 +74,7 @@
 		}
 		best.use[job.j.record.Spec.Class] += cpus
 		if job.waitedLong {
-			best.use[waitedLong] += cpus
+			best.use[longWaiting] += cpus
 		}
 	}
 	for _, b := range l.blocks {
--- a/internal/scenario/world.go
+++ b/internal/scenario/world_test.go
@@ -1,5 +1,3 @@
-// Package scenario plays small clusters of our own actors against the stand-ins,
-// in simulated time and always the same way, and watches the users' rules.
 package scenario
 
 import (
