--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"io"
 	"log/slog"
 	"net"
@@ -18,32 +17,28 @@
 	"swiftledge/wire"
 )
 
-// With as many workers as there may be connections, users and probes still get in:
-// the workers' connections are given up first, after an answer.
-func TestWorkersLeaveConnectionsToUsers(t *testing.T) {
-	cfg := &config.Config{}
-	cfg.Facts.Quota.MaxSockets = 100
+// served starts a service whose workers' reports all get one answer, and gives the way to ask it
+// something on a connection of its own.
+func served(t *testing.T, cfg *config.Config, answer block.Answer) (ask func(request string) *fasthttp.Response) {
+	t.Helper()
 	directory := NewDirectory(cfg, func() clock.Micros { return 0 })
-	ctx, stop := context.WithCancel(t.Context())
-	defer stop()
-	go directory.Run(ctx)
-	s := New(cfg, nil, nil, directory, func() bool { return true }, func(*wire.Report) block.Answer {
-		return block.Answer{Status: 200}
-	}, nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	go directory.Run(t.Context())
+	s := New(cfg, nil, nil, directory, func() bool { return true }, func(*wire.Report) block.Answer { return answer },
+		nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
+	t.Cleanup(func() { l.Close() })
 	go s.Serve(l)
-	ask := func(req string) *fasthttp.Response {
+	return func(request string) *fasthttp.Response {
 		t.Helper()
 		c, err := net.Dial("tcp4", l.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { c.Close() })
-		if _, err := io.WriteString(c, req); err != nil {
+		if _, err := io.WriteString(c, request); err != nil {
 			t.Fatal(err)
 		}
 		var res fasthttp.Response
@@ -52,11 +47,29 @@
 		}
 		return &res
 	}
+}
+
+// beatRequest is a worker's report.
+func beatRequest() string {
 	body := `{"rig":"host-000001","stint":1,"tally":1}`
-	beat := "POST /agent/beat HTTP/1.1\r\nHost: a\r\nContent-Type: application/json\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+	return "POST /agent/beat HTTP/1.1\r\nHost: a\r\nContent-Type: application/json\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+}
+
+// smallConfig is that of a controller with few sockets.
+func smallConfig() *config.Config {
+	cfg := &config.Config{}
+	cfg.Facts.Quota.MaxSockets = 100
+	return cfg
+}
+
+// With as many workers as there may be connections, users and probes still get in:
+// the workers' connections are given up first, after an answer.
+func TestWorkersLeaveConnectionsToUsers(t *testing.T) {
+	cfg := smallConfig()
+	ask := served(t, cfg, block.Answer{Status: 200})
 	kept := 0
 	for range 2 * cfg.HTTPSockets() {
-		res := ask(beat)
+		res := ask(beatRequest())
 		if res.StatusCode() != 200 {
 			t.Fatalf("a worker gets %d: %s", res.StatusCode(), res.Body())
 		}
@@ -80,32 +93,9 @@
 // A worker that is refused goes to another controller and closes its connection. Closing it with
 // the answer spares a controller that is left alone hundreds of wake-ups a second.
 func TestRefusedWorkersConnectionIsClosed(t *testing.T) {
-	cfg := &config.Config{}
-	cfg.Facts.Quota.MaxSockets = 100
-	directory := NewDirectory(cfg, func() clock.Micros { return 0 })
 	for _, status := range []int{200, 421, 503} {
-		s := New(cfg, nil, nil, directory, func() bool { return true }, func(*wire.Report) block.Answer {
-			return block.Answer{Status: status}
-		}, nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer l.Close()
-		go s.Serve(l)
-		c, err := net.Dial("tcp4", l.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer c.Close()
-		body := `{"rig":"host-000001","stint":1,"tally":1}`
-		if _, err := io.WriteString(c, "POST /agent/beat HTTP/1.1\r\nHost: a\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body); err != nil {
-			t.Fatal(err)
-		}
-		var res fasthttp.Response
-		if err := res.Read(bufio.NewReader(c)); err != nil {
-			t.Fatal(err)
-		}
+		ask := served(t, smallConfig(), block.Answer{Status: status})
+		res := ask(beatRequest())
 		if res.StatusCode() != status || res.ConnectionClose() != (status != 200) {
 			t.Errorf("status %d, want %d; connection closed: %v", res.StatusCode(), status, res.ConnectionClose())
 		}
--- a/internal/block/holder_test.go
+++ b/internal/block/holder_test.go
@@ -600,8 +600,7 @@
 	}
 }
 
-// started offers a task to a holder and confirms its start record, once after ticks that come on
-// time and once after a late one; it gives the effects of the confirmation.
+// started offers a task to a holder, confirms its start record, and gives the effects of that.
 func started(t *testing.T, h *Holder, at clock.Micros) []any {
 	t.Helper()
 	offer := peer.Offer{Job: wire.Job{Ref: "j-000009", Team: "red", Tasks: 1, CPUs: 1, MemoryGB: 1, Spot: true}, Indexes: []int{0}}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -173,7 +173,7 @@
 		if c := cmp.Compare(priceStep(supply[a].Option), priceStep(supply[b].Option)); c != 0 {
 			return c
 		}
-		if c := boolCmp(supply[a].Idle, supply[b].Idle); c != 0 {
+		if c := FalseFirst(supply[a].Idle, supply[b].Idle); c != 0 {
 			return c
 		}
 		return cmp.Compare(supply[b].Load, supply[a].Load)
@@ -296,7 +296,8 @@
 // better told by what runs on them.
 func priceStep(o Option) float64 { return math.Floor(math.Log(max(unit(o), 1e-9)) / math.Log(1.5)) }
 
-func boolCmp(a, b bool) int {
+// FalseFirst compares two booleans for a sort order that puts false before true.
+func FalseFirst(a, b bool) int {
 	switch {
 	case a == b:
 		return 0
--- a/internal/leader/queue.go
+++ b/internal/leader/queue.go
@@ -8,6 +8,7 @@
 
 	"swiftledge/internal/clock"
 	"swiftledge/internal/config"
+	"swiftledge/internal/fleet"
 	"swiftledge/wire"
 )
 
@@ -23,18 +24,7 @@
 // compare orders those that can still be in time before those that cannot, then by priority, then
 // by the latest start that is in time, then by submission.
 func (o jobOrder) compare(x jobOrder) int {
-	return cmp.Or(compareBool(o.late, x.late), cmp.Compare(o.rank, x.rank), cmp.Compare(o.slack, x.slack), cmp.Compare(x.age, o.age))
-}
-
-// compareBool puts false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
+	return cmp.Or(fleet.FalseFirst(o.late, x.late), cmp.Compare(o.rank, x.rank), cmp.Compare(o.slack, x.slack), cmp.Compare(x.age, o.age))
 }
 
 // order is a job's place in its team's queue. A job without a deadline of its own has that of its
@@ -69,7 +59,7 @@
 }
 
 func (o teamOrder) compare(x teamOrder) int {
-	return cmp.Or(compareBool(x.belated, o.belated), compareBool(o.overGuarantee, x.overGuarantee),
+	return cmp.Or(fleet.FalseFirst(x.belated, o.belated), fleet.FalseFirst(o.overGuarantee, x.overGuarantee),
 		cmp.Compare(o.rank, x.rank), cmp.Compare(o.guaranteeInUse, x.guaranteeInUse))
 }
 
