--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"math/rand/v2"
 	"net"
 	"strings"
@@ -160,128 +159,6 @@
 	}
 }
 
-// pump carries one connection's bytes; c is our end of its pipe.
-func (o *Relay) pump(ctx context.Context, r *relayConn, c net.Conn) {
-	ctx, stop := context.WithCancel(ctx)
-	defer stop()
-	defer c.Close()
-	defer func() { o.calls <- ended{r.to, r.id} }()
-	out := make(chan []byte, 16)
-	go func() {
-		defer close(out)
-		for {
-			buf := make([]byte, 4096)
-			n, err := c.Read(buf)
-			if err != nil {
-				return
-			}
-			out <- buf[:n]
-		}
-	}()
-	in := make(chan []byte, 64)
-	defer close(in)
-	go func() {
-		for b := range in {
-			if _, err := c.Write(b); err != nil {
-				return
-			}
-		}
-	}()
-	key := RelayPrefix + r.to + "/" + o.me
-	l := frame{Conn: r.id, Open: r.opener}
-	var pending []byte
-	var version uint64
-	known, due := false, false
-	written := make(chan bool, 1)
-	writing := false
-	last := time.Time{}
-	tick := time.NewTicker(o.gap / 4)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case b, ok := <-out:
-			if !ok || len(pending)+len(b) > mostPending {
-				if writing {
-					<-written
-				}
-				l.End, l.Data = true, nil
-				for n := range endTries {
-					if o.write(ctx, key, l, &version, &known) || !store.Pause(ctx, min(n, 2)) {
-						break
-					}
-				}
-				return
-			}
-			pending = append(pending, b...)
-		case got := <-r.frames:
-			if got.End {
-				return
-			}
-			if got.Ack == l.Seq {
-				l.Data = nil
-			}
-			// A repeated piece tells that our acknowledgement was missed.
-			due = due || got.Seq == l.Ack && got.Seq > 0 && got.Data != nil
-			if got.Seq == l.Ack+1 {
-				l.Ack, due = got.Seq, true
-				if len(got.Data) > 0 {
-					select {
-					case in <- got.Data:
-					default:
-						return // our side does not keep up
-					}
-				}
-			}
-		case ok := <-written:
-			writing = false
-			due = due || !ok
-		case <-tick.C:
-		}
-		if writing || time.Since(last) < o.gap {
-			continue
-		}
-		if l.Data == nil && len(pending) > 0 {
-			n := min(len(pending), o.bytes)
-			l.Data, pending = pending[:n:n], pending[n:]
-			l.Seq++
-			due = true
-		}
-		// Unacknowledged pieces are written again now and then, in case a frame was missed.
-		if due || l.Data != nil && time.Since(last) > 3*o.gap {
-			due, writing, last = false, true, time.Now()
-			// The goroutine owns version and known until it has answered.
-			go func(l frame) { written <- o.write(ctx, key, l, &version, &known) }(l)
-		}
-	}
-}
-
-// write puts a frame over the last one, guarded on its version: a copy that is
-// applied late must not bring an older piece back.
-func (o *Relay) write(ctx context.Context, key string, l frame, version *uint64, known *bool) bool {
-	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
-	defer cancel()
-	if !*known {
-		it, err := o.mail.Get(ctx, store.Starts, key)
-		if err != nil && !errors.Is(err, store.ErrMissing) {
-			return false
-		}
-		*version, *known = it.Version, true
-	}
-	raw, err := json.Marshal(l)
-	if err != nil {
-		return false
-	}
-	out, err := o.mail.Once(ctx, store.Starts, wire.Txn{If: []wire.Guard{{Key: key, Version: *version}}, Then: []wire.Write{{Put: key, Value: raw}}})
-	if err != nil || !out.OK {
-		*known = false
-		return false
-	}
-	*version = out.Revision
-	return true
-}
-
 // Dial links a follower to the leader through the state service.
 func (o *Relay) Dial(ctx context.Context, to string, h Hello) (*Link, error) {
 	return greet(o.Open(ctx, to), to, h, true)
