--- a/internal/api/admission.go
+++ b/internal/api/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 )
 
@@ -21,21 +22,24 @@
 // all were answered. Between two batches these get their turn.
 type admission struct {
 	arrivals chan chan struct{}
-	pause    func() // between two batches
+	pause    func()    // between two batches
+	turns    sync.Pool // of channels that have told their report's turn
 }
 
 func newAdmission() *admission {
 	return &admission{
 		arrivals: make(chan chan struct{}, admissionQueue),
 		pause:    func() { time.Sleep(admissionPause) },
+		turns:    sync.Pool{New: func() any { return make(chan struct{}, 1) }},
 	}
 }
 
 // wait returns when the caller's report is admitted.
 func (a *admission) wait() {
-	admitted := make(chan struct{})
-	a.arrivals <- admitted
-	<-admitted
+	turn := a.turns.Get().(chan struct{})
+	a.arrivals <- turn
+	<-turn
+	a.turns.Put(turn)
 }
 
 // run admits reports in the order in which they came until ctx ends.
@@ -44,11 +48,12 @@
 		select {
 		case <-ctx.Done():
 			return
-		case admitted := <-a.arrivals:
-			close(admitted)
+		case turn := <-a.arrivals:
+			turn <- struct{}{}
 		}
 		for range min(admissionBatch-1, len(a.arrivals)) {
-			close(<-a.arrivals)
+			turn := <-a.arrivals
+			turn <- struct{}{}
 		}
 		if len(a.arrivals) > 0 {
 			a.pause()
