--- a/internal/api/answers_test.go
+++ b/internal/api/answers_test.go
@@ -137,11 +137,56 @@
 	}
 }
 
+// refusing is a state service whose limit refuses reads; it notes their priorities.
+type refusing struct {
+	between
+	refuse     bool
+	priorities []int
+}
+
+func (r *refusing) Get(ctx context.Context, prio int, key string) (wire.Item, error) {
+	r.priorities = append(r.priorities, prio)
+	if r.refuse {
+		return wire.Item{}, store.ErrRefused
+	}
+	return r.between.Get(ctx, prio, key)
+}
+
+// When more is asked than the state service takes, chance must not leave the questions about one
+// job unanswered for a minute: once they were refused for a while, the next goes first.
+func TestStarvedQuestionsGoFirst(t *testing.T) {
+	const ref = "j-000001"
+	st := &refusing{between: between{Store: standin.NewStore(4, 8)}, refuse: true}
+	var now clock.Micros
+	s := serviceAt(t, st, func() clock.Micros { return now })
+	ask := func(at clock.Micros) int {
+		now = at
+		st.priorities = nil
+		s.Look(ref)
+		return st.priorities[0]
+	}
+	for _, at := range []clock.Micros{0, starvedAfter / 2, starvedAfter - 1} {
+		if prio := ask(clock.Second + at); prio != store.Normal {
+			t.Errorf("after %g s of refusals: priority %d, want %d", at.Seconds(), prio, store.Normal)
+		}
+	}
+	st.refuse = false
+	if prio := ask(clock.Second + starvedAfter + 1); prio != store.Starved {
+		t.Errorf("a job that has waited: priority %d, want %d", prio, store.Starved)
+	}
+	if prio := ask(clock.Second + 2*starvedAfter); prio != store.Normal {
+		t.Errorf("after an answer: priority %d, want %d", prio, store.Normal)
+	}
+}
+
 func service(t *testing.T, st Store) *Service {
+	return serviceAt(t, st, func() clock.Micros { return 0 })
+}
+
+func serviceAt(t *testing.T, st Store, now func() clock.Micros) *Service {
 	cfg := &config.Config{Tuning: config.DefaultTuning()}
 	cfg.Facts.Teams = []config.Team{{Name: "red", CPUs: 8, CPUsMax: 8}}
 	cfg.Facts.State.ValueKB = 4
-	now := func() clock.Micros { return 0 }
 	directory := NewDirectory(cfg, now)
 	go directory.Run(t.Context())
 	directory.Post(typesRead{[]wire.MachineType{{Name: "small", CPUs: 4, MemoryGB: 8, ZoneNames: []string{"a"}}}})
--- a/internal/api/directory.go
+++ b/internal/api/directory.go
@@ -40,16 +40,24 @@
 	answer chan View
 }
 
+// questionAnswered and questionRefused tell what became of a question about a job.
+type (
+	questionAnswered struct{ ref string }
+	questionRefused  struct{ ref string }
+)
+
 type typesRead struct{ types []wire.MachineType }
 
 // View is what the directory knows, at one moment, of one job and in general.
 type View struct {
-	Epoch    uint64
-	Types    []wire.MachineType
-	Count    peer.TaskCount
-	End      *leader.EndRecord
-	LeaderOK bool // a leader that the state service serves spoke to us lately
-	Alone    bool // no other controller has been reached for a while
+	Epoch uint64
+	Types []wire.MachineType
+	Count peer.TaskCount
+	End   *leader.EndRecord
+	// Since when questions about the job were refused here, none being answered; 0: the last was answered.
+	RefusedFor clock.Micros
+	LeaderOK   bool // a leader that the state service serves spoke to us lately
+	Alone      bool // no other controller has been reached for a while
 }
 
 // PeerReached says that another controller was reached, whatever it said.
@@ -61,6 +69,9 @@
 // maxEnds bounds the final states kept at hand; the store has them all.
 const maxEnds = 5000
 
+// maxRefused bounds the jobs remembered whose questions were refused.
+const maxRefused = 5000
+
 // NewDirectory makes a directory; Run serves it.
 func NewDirectory(cfg *config.Config, now func() clock.Micros) *Directory {
 	return &Directory{cfg: cfg, now: now, box: make(chan stamped, 1024)}
@@ -85,6 +96,7 @@
 	var leaderAt, metAt clock.Micros
 	counts := map[string]peer.TaskCount{}
 	ends := map[string]leader.EndRecord{}
+	refused := map[string]clock.Micros{}
 	for {
 		var s stamped
 		select {
@@ -116,8 +128,17 @@
 			}
 			ends[m.ref] = m.end
 			delete(counts, m.ref)
+		case questionAnswered:
+			delete(refused, m.ref)
+		case questionRefused:
+			if _, known := refused[m.ref]; !known && len(refused) < maxRefused {
+				refused[m.ref] = s.at
+			}
 		case viewRequest:
 			out := v
+			if since, ok := refused[m.ref]; ok {
+				out.RefusedFor = s.at - since
+			}
 			out.Count = counts[m.ref]
 			if e, ok := ends[m.ref]; ok {
 				out.End = &e
--- a/internal/api/jobs.go
+++ b/internal/api/jobs.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-playground/validator/v10"
 
+	"swiftledge/internal/clock"
 	"swiftledge/internal/leader"
 	"swiftledge/internal/store"
 	"swiftledge/wire"
@@ -199,17 +200,34 @@
 	for n := 0; ; n++ {
 		r, err := s.read(ctx, ref, v)
 		if err == nil {
+			if v.RefusedFor > 0 {
+				s.directory.Post(questionAnswered{ref})
+			}
 			return r
 		}
 		if !again(err, n) || !s.pause(ctx, n) {
+			s.directory.Post(questionRefused{ref})
 			return refuse(503, "the state service is away")
 		}
 	}
 }
 
+// starvedAfter is for how long questions about a job may be refused before the next goes first.
+const starvedAfter = 15 * clock.Second
+
+// readPriority is that of a question about a job. With more questions than the state service takes,
+// chance would leave some jobs without an answer for minutes: those that have waited go first.
+func readPriority(v View) int {
+	if v.RefusedFor > starvedAfter {
+		return store.Starved
+	}
+	return store.Normal
+}
+
 func (s *Service) read(ctx context.Context, ref string, v View) (Result, error) {
+	prio := readPriority(v)
 	// A job moves from job/ to over/ in one transaction, so this order never misses it.
-	_, err := s.store.Get(ctx, store.Normal, leader.JobPrefix+ref)
+	_, err := s.store.Get(ctx, prio, leader.JobPrefix+ref)
 	if err == nil {
 		st := wire.JobStatus{Ref: ref, State: wire.Queued, Done: v.Count.Done, Running: v.Count.Running}
 		if st.Running > 0 {
@@ -220,7 +238,7 @@
 	if !errors.Is(err, store.ErrMissing) {
 		return Result{}, err
 	}
-	it, err := s.store.Get(ctx, store.Normal, leader.EndPrefix+ref)
+	it, err := s.store.Get(ctx, prio, leader.EndPrefix+ref)
 	if errors.Is(err, store.ErrMissing) {
 		return refuse(404, "no such job"), nil
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -27,6 +27,7 @@
 	Renewal = iota // of the leader's lease
 	Urgent         // election, accepts, aborts
 	Starts         // start records, final states
+	Starved        // reads for status that were refused for a while
 	Normal         // reads for status, roster
 	Lazy           // progress, clean-up
 )
