--- a/internal/leader/grants.go
+++ b/internal/leader/grants.go
@@ -255,6 +255,7 @@
 		m.state.Fit, m.out = false, false
 		roster = append(roster, peer.RosterMachine{Name: name, Address: m.address})
 	}
+	roster = append(roster, l.listUnlisted(b, pages)...)
 	// A controller that linked up before the epoch was loaded knows no types yet.
 	// What is to be stopped comes with the grant: no report may be answered between the two.
 	l.emit(Tell{b.link, peer.Down{Epoch: l.epoch, Holders: l.holders(), Types: l.typeList, Orders: []peer.BlockOrders{b.orders},
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -88,6 +88,8 @@
 	machines                                                            map[string]*machine
 	rentals                                                             map[string]*rental
 	gone                                                                map[string]bool
+	unanswered                                                          map[string]bool // rentals of former leaders without a stored answer
+	doubtful                                                            map[string]bool // machines that only start records name meanwhile
 	classesSeen                                                         map[string]bool // classes of which a job has come in this epoch
 	types                                                               map[string]wire.MachineType
 	typeList                                                            []wire.MachineType
@@ -153,7 +155,7 @@
 
 func (l *Leader) reset() {
 	*l = Leader{cfg: l.cfg, within: l.within, awaited: l.awaited, valueBytes: l.cfg.ValueBytes(), txnOps: l.cfg.TxnOps(), teams: l.teams, self: l.self, storeOK: l.storeOK, nodes: map[string]*node{}, jobs: map[string]*job{}, usage: map[string]*use{},
-		machines: map[string]*machine{}, rentals: map[string]*rental{}, gone: map[string]bool{}, classesSeen: map[string]bool{}, types: map[string]wire.MachineType{},
+		machines: map[string]*machine{}, rentals: map[string]*rental{}, gone: map[string]bool{}, unanswered: map[string]bool{}, doubtful: map[string]bool{}, classesSeen: map[string]bool{}, types: map[string]wire.MachineType{},
 		refused: map[fleet.OptionKey]refusal{}, classes: map[string]*classStat{}, found: map[string]wire.Machine{}, counts: map[string]peer.TaskCount{}}
 }
 
@@ -396,5 +398,7 @@
 		l.endRead(tag, m)
 	case progTag:
 		l.progressPageRead(tag, m)
+	case fleetTag:
+		l.fleetRead(now, tag, m)
 	}
 }
--- a/internal/leader/rentals.go
+++ b/internal/leader/rentals.go
@@ -15,6 +15,7 @@
 	rt := &rental{key: it.Key, stamp: it.Version, record: r, since: now}
 	l.rentals[it.Key] = rt
 	if !r.Asked {
+		l.unanswered[it.Key] = true
 		// The answer was lost with a former leader; the same name gives the same machines.
 		rt.busy, rt.asked = true, now
 		l.emit(Rent{l.epoch, r.Rental})
@@ -59,26 +60,59 @@
 	if len(left) == 0 {
 		delete(l.rentals, rt.key)
 		l.commit(store.Lazy, nil, nil, []wire.Write{{Delete: rt.key}})
+		l.settleFormer(now, rt)
 		return
 	}
 	l.writeRental(rt)
 }
 
+// fleetWritten goes on after a write of a rental's record. Only a write that succeeded proves what
+// is stored. A failed guard does not: the write of ours that changed the record may have been an
+// earlier one than this, whose answer was lost.
 func (l *Leader) fleetWritten(now clock.Micros, tag fleetTag, m Committed) {
+	rt := l.rentals[tag.key]
+	switch {
+	case rt == nil:
+	case m.Outcome.OK:
+		rt.stamp = m.Outcome.Revision
+		l.rosterStored(now, rt)
+	case m.Outcome.FailedOn(tag.key):
+		l.emit(ReadKey{l.epoch, tag.key, tag})
+	default:
+		l.info("roster write failed", "key", tag.key, "error", m.Err)
+		delete(l.rentals, tag.key)
+	}
+}
+
+// fleetRead compares what is stored of a rental with what was to be written, and writes it again
+// if it is something else.
+func (l *Leader) fleetRead(now clock.Micros, tag fleetTag, m Read) {
 	rt := l.rentals[tag.key]
 	if rt == nil {
 		return
 	}
-	// Only this epoch's leader writes the key, so a failed guard is an earlier try that went through.
-	if !m.Outcome.OK && !(m.Outcome.FailedOn(tag.key) && m.Outcome.Unsure) {
-		l.info("roster write failed", "key", tag.key, "error", m.Err)
-		delete(l.rentals, tag.key)
+	rt.stamp = 0
+	var stored FleetRecord
+	if m.Found {
+		rt.stamp = m.Item.Version
+		stored, _ = decode[FleetRecord](l, m.Item)
+	}
+	if m.Found && stored.equal(&rt.record) {
+		l.rosterStored(now, rt)
 		return
 	}
+	l.writeRental(rt)
+}
+
+// equal says whether two records tell the same.
+func (r *FleetRecord) equal(o *FleetRecord) bool {
+	return r.Rental == o.Rental && r.Asked == o.Asked && slices.Equal(r.Machines, o.Machines)
+}
+
+// rosterStored goes on once a rental's record is known to be stored as it is here: a recorded
+// request is sent, and recorded machines are used.
+func (l *Leader) rosterStored(now clock.Micros, rt *rental) {
 	rt.busy = false
-	if m.Outcome.OK {
-		rt.stamp = m.Outcome.Revision
-	}
 	if !rt.record.Asked {
 		rt.busy, rt.asked = true, now
 		l.emit(Rent{l.epoch, rt.record.Rental})
@@ -89,6 +123,7 @@
 			l.addMachine(now, name, rt)
 		}
 	}
+	l.settleFormer(now, rt)
 }
 
 func (l *Leader) rented(now clock.Micros, m Rented) {
--- /dev/null
+++ b/internal/leader/roster.go
@@ -0,0 +1,66 @@
+package leader
+
+import (
+	"maps"
+	"slices"
+
+	"swiftledge/internal/clock"
+	"swiftledge/internal/peer"
+)
+
+// A holder takes the tasks of a machine that its grant does not list for gone: machines leave the
+// durable roster only after their proven end. That holds as long as no machine works that no stored
+// record names. A leader of the version in production may have broken it: after a lost answer it can
+// take a rental's record for written that was not. Such a record is still without the cloud's answer.
+//
+// So while rentals of former leaders are without a stored answer, machines that only start records
+// name are granted as well, drained: their tasks count as running until the answer, or their own
+// reports, prove something else.
+
+// unlisted names the machines of start records that no roster record names, although one of them
+// may have to.
+func (l *Leader) unlisted(pages map[string]peer.RecordPage) []string {
+	if len(l.unanswered) == 0 {
+		return nil
+	}
+	names := map[string]bool{}
+	for _, page := range pages {
+		for _, suffix := range page.Machines {
+			name := page.Prefix + suffix
+			if l.machines[name] == nil && !l.gone[name] {
+				names[name] = true
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(names))
+}
+
+// listUnlisted adds such machines to a block's grant.
+func (l *Leader) listUnlisted(b *leasedBlock, pages map[string]peer.RecordPage) (roster []peer.RosterMachine) {
+	for _, name := range l.unlisted(pages) {
+		l.doubtful[name] = true
+		b.orders.Drain = append(b.orders.Drain, name)
+		roster = append(roster, peer.RosterMachine{Name: name})
+	}
+	return roster
+}
+
+// settleFormer notes that a rental's answer is stored. Once that is true of all of them, the
+// roster names every machine that may work: what it does not name has ended.
+func (l *Leader) settleFormer(now clock.Micros, rt *rental) {
+	if !l.unanswered[rt.key] {
+		return
+	}
+	delete(l.unanswered, rt.key)
+	if len(l.unanswered) > 0 {
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(l.doubtful)) {
+		if m := l.machines[name]; m != nil {
+			l.drain(now, m, "worked without a stored record")
+		} else {
+			l.bury(name)
+		}
+	}
+	clear(l.doubtful)
+}
--- /dev/null
+++ b/internal/leader/roster_test.go
@@ -0,0 +1,135 @@
+package leader
+
+import (
+	"slices"
+	"testing"
+
+	"swiftledge/internal/block"
+	"swiftledge/internal/peer"
+	"swiftledge/internal/store"
+	"swiftledge/wire"
+)
+
+// rosterWrite is the write of a rental's record among the effects.
+func rosterWrite(t *testing.T, fx []any, key string) Commit {
+	t.Helper()
+	for _, e := range fx {
+		if c, ok := e.(Commit); ok && c.Txn.Then[0].Put == key {
+			return c
+		}
+	}
+	t.Fatalf("no write of %s among %v", key, fx)
+	return Commit{}
+}
+
+// rosterGuard is the version that a write of a rental's record expects of it.
+func rosterGuard(t *testing.T, c Commit, key string) uint64 {
+	t.Helper()
+	for _, g := range c.Txn.If {
+		if g.Key == key {
+			return g.Version
+		}
+	}
+	t.Fatalf("the write of %s is not guarded on its version", key)
+	return 0
+}
+
+// The answers to both writes of a rental's record are lost. The first was carried out; the second
+// never was, as it was guarded on a version that the first had replaced. Its failed guard was taken
+// for a try that went through, and the machines were used without a durable record: the next leader
+// did not know them, took their tasks for gone, and started these on other machines.
+func TestMachinesAreNotUsedBeforeTheirRecordIsStored(t *testing.T) {
+	l := leading(t)
+	asked := wire.Rental{Request: "r-5-1", Type: "small", Zone: "a", Spot: true, Count: 1}
+	key := FleetPrefix + asked.Request
+	l.rentals[key] = &rental{key: key, record: FleetRecord{Rental: asked}, busy: true}
+	machine := "host-000009"
+
+	// The first write was carried out without an answer, as version 20: its repeat fails on the key.
+	lost := store.Outcome{Failed: []string{key}, Unsure: true}
+	l.Step(began, Committed{Epoch: 5, Tag: fleetTag{key}, Outcome: lost})
+	l.Step(began, Read{Epoch: 5, Tag: fleetTag{key}, Found: true, Item: item(t, key, 20, FleetRecord{Rental: asked})})
+	second := rosterWrite(t, l.Step(began, Rented{Epoch: 5, Request: asked.Request, Machines: []string{machine}}), key)
+	if got := rosterGuard(t, second, key); got != 20 {
+		t.Errorf("the second write expects version %d of the record, which is at 20", got)
+	}
+
+	// Nor does a failed guard of the second prove that it went through.
+	fx := l.Step(began, Committed{Epoch: 5, Tag: fleetTag{key}, Outcome: lost})
+	fx = append(fx, l.Step(began, Read{Epoch: 5, Tag: fleetTag{key}, Found: true, Item: item(t, key, 21, FleetRecord{Rental: asked})})...)
+	if l.machines[machine] != nil {
+		t.Error("a machine is used whose durable record does not name it")
+	}
+	third := rosterWrite(t, fx, key)
+	if got := rosterGuard(t, third, key); got != 21 {
+		t.Errorf("the third write expects version %d of the record, which is at 21", got)
+	}
+	l.Step(began, Committed{Epoch: 5, Tag: fleetTag{key}, Outcome: store.Outcome{OK: true, Revision: 22}})
+	if l.machines[machine] == nil {
+		t.Error("not used although its record is stored")
+	}
+}
+
+// orderedOf gathers what the effects tell the holder of a block.
+func orderedOf(fx []any, b int) (drained, gone, roster []string) {
+	for _, e := range fx {
+		x, ok := e.(Tell)
+		if !ok {
+			continue
+		}
+		for _, o := range x.Down.Orders {
+			if o.Block == b {
+				drained, gone = append(drained, o.Drain...), append(gone, o.Gone...)
+			}
+		}
+		for _, g := range x.Down.Grants {
+			for _, m := range g.Machines {
+				if g.Block == b {
+					roster = append(roster, m.Name)
+				}
+			}
+		}
+	}
+	return drained, gone, roster
+}
+
+// A leader of the version in production may use machines whose record is not stored. While a rental
+// of a former leader is without an answer, a machine that only start records name is granted,
+// drained: a holder would take its tasks for gone and have them started elsewhere.
+func TestMachinesOfAnUnansweredRentalKeepTheirTasks(t *testing.T) {
+	unknown := "host-000009"
+	for _, answer := range []struct {
+		machines []string
+		gone     bool
+	}{{[]string{unknown}, false}, {[]string{"host-000010"}, true}} {
+		l := leading(t)
+		asked := wire.Rental{Request: "r-3-1", Type: "small", Zone: "a", Spot: true, Count: 1}
+		key := FleetPrefix + asked.Request
+		l.loadRental(began, item(t, key, 3, FleetRecord{Rental: asked}), FleetRecord{Rental: asked})
+		page := peer.RecordPage{Machines: []string{unknown}, Groups: []peer.RecordGroup{{Job: spec.Ref, Team: "red", CPUs: 1, Starts: []int{0, 1, 0}}}}
+		b := block.Of(unknown, 2)
+		fx := l.Step(began, Records{Epoch: 5, Block: b, Token: l.blocks[b].token, Pages: map[string]peer.RecordPage{"p": page}})
+		drained, _, roster := orderedOf(fx, b)
+		if !slices.Contains(roster, unknown) || !slices.Contains(drained, unknown) {
+			t.Errorf("granted %v, drained %v: %s is missing", roster, drained, unknown)
+		}
+		fx = l.Step(began, Rented{Epoch: 5, Request: asked.Request, Machines: answer.machines})
+		fx = append(fx, l.Step(began, Committed{Epoch: 5, Tag: fleetTag{key}, Outcome: store.Outcome{OK: true, Revision: 9}})...)
+		drained, gone, _ := orderedOf(fx, b)
+		if slices.Contains(gone, unknown) != answer.gone || slices.Contains(drained, unknown) == answer.gone {
+			t.Errorf("the rental has %v: told that %v are gone and %v drained", answer.machines, gone, drained)
+		}
+	}
+}
+
+// Without such a rental the roster is complete: what it does not name left it after its proven end,
+// and its tasks are not waited for.
+func TestMachinesThatLeftTheRosterAreNotGranted(t *testing.T) {
+	l := leading(t)
+	page := peer.RecordPage{Machines: []string{"host-000009"}, Groups: []peer.RecordGroup{{Job: spec.Ref, Team: "red", CPUs: 1, Starts: []int{0, 1, 0}}}}
+	b := block.Of("host-000009", 2)
+	fx := l.Step(began, Records{Epoch: 5, Block: b, Token: l.blocks[b].token, Pages: map[string]peer.RecordPage{"p": page}})
+	if _, _, roster := orderedOf(fx, b); slices.Contains(roster, "host-000009") {
+		t.Errorf("granted %v", roster)
+	}
+}
