--- a/internal/block/holder_test.go
+++ b/internal/block/holder_test.go
@@ -1,6 +1,7 @@
 package block
 
 import (
+	"slices"
 	"strconv"
 	"testing"
 
@@ -119,8 +120,8 @@
 	h := holding(t)
 	exit := wire.TaskReport{Task: TaskName(task), Attempt: 2, State: wire.Exited, Cause: wire.CauseDone}
 	fx := h.Step(later(1), beat("m2", 1, 50, exit))
-	if ev := eventsOf(fx); len(ev) != 1 || ev[0] != peer.Done {
-		t.Errorf("events %v, want done", ev)
+	if ev := eventsOf(fx); !slices.Equal(ev, []string{peer.Remains, peer.Done}) {
+		t.Errorf("events %v, want done beside the record of another attempt", ev)
 	}
 	if a := answerOf(t, fx); len(a.Body.Commands) != 0 {
 		t.Errorf("commands %v before the completion is stored", a.Body.Commands)
@@ -683,3 +684,19 @@
 		}
 	}
 }
+
+// The end of one attempt is told as the completion of its task, but with the word that another may
+// run yet: a replica's task would be started once more beside it.
+func TestCompletionBesideAnotherAttemptSaysSo(t *testing.T) {
+	h := holding(t)
+	done := wire.TaskReport{Task: TaskName(task), Attempt: 1, State: wire.Exited, Cause: wire.CauseDone}
+	ev := eventsOf(h.Step(later(1), beat("m1", 1, 50, done)))
+	if !slices.Equal(ev, []string{peer.Remains, peer.Done}) {
+		t.Errorf("events %v when one of two attempts completed", ev)
+	}
+	done.Attempt = 2
+	ev = eventsOf(h.Step(later(2), beat("m2", 1, 50, done)))
+	if !slices.Equal(ev, []string{peer.Done}) {
+		t.Errorf("events %v when the last attempt completed", ev)
+	}
+}
--- a/internal/block/state.go
+++ b/internal/block/state.go
@@ -148,6 +148,9 @@
 	if last {
 		delete(b.attempts, r.task)
 	}
+	if !last && e.Kind == peer.Done {
+		b.events = append(b.events, peer.Event{Task: r.task, Kind: peer.Remains, Machine: r.m.name})
+	}
 	if last || e.Kind == peer.Done {
 		b.events = append(b.events, e)
 	}
--- a/internal/leader/grants.go
+++ b/internal/leader/grants.go
@@ -26,6 +26,7 @@
 	cpus, gpus float64
 	zone       string
 	running    bool
+	remains    bool         // one of several attempts has ended, and another may run yet
 	inherited  bool         // from the start records of an earlier grant
 	since      clock.Micros // when it was first seen to run
 	machine    string
--- a/internal/leader/holders.go
+++ b/internal/leader/holders.go
@@ -72,7 +72,7 @@
 		}
 	case peer.Running:
 		if h := b.tasks[e.Task]; h != nil && !h.running {
-			h.running, h.since = true, now
+			h.running, h.since, h.machine = true, now, e.Machine
 			if j != nil {
 				j.running++
 				if j.record.Spec.Standing() {
@@ -80,34 +80,65 @@
 				}
 			}
 		}
-	case peer.Unplaced, peer.Back, peer.Errored, peer.Done:
-		h := l.release(b, e.Task)
-		if h != nil && h.running && j != nil {
-			j.running--
+	case peer.Remains:
+		if h := b.tasks[e.Task]; h != nil {
+			h.remains = true
 		}
-		standing := j != nil && j.record.Spec.Standing()
-		if e.Kind == peer.Done && standing {
-			// No end of a replica is its last. It stays listed until its machine has shown a
-			// higher token: a late copy of its order would start it anew.
-			b.orders.Stop = append(b.orders.Stop, peer.StopTask{Task: e.Task})
-			b.orders.Stored = append(b.orders.Stored, e.Task)
-		} else if e.Kind == peer.Done {
-			l.done(now, b, j, e)
-			if h != nil && j != nil {
-				j.gone(e.Index)
-			}
-			return
+	case peer.Unplaced, peer.Back, peer.Errored, peer.Done:
+		if j != nil && j.record.Spec.Standing() {
+			l.replicaEnded(now, b, j, e)
+		} else {
+			l.taskEnded(now, b, j, e)
 		}
+	}
+}
+
+// taskEnded takes in the end of a batch's task, or of one whose job is not known any more.
+func (l *Leader) taskEnded(now clock.Micros, b *leasedBlock, j *job, e peer.Event) {
+	h := l.release(b, e.Task)
+	if h != nil && h.running && j != nil {
+		j.running--
+	}
+	switch {
+	case e.Kind == peer.Done:
+		l.done(now, b, j, e)
 		if h != nil && j != nil {
-			j.giveBack(e.Index)
-			if standing && e.Kind != peer.Unplaced {
-				l.fell(now, j, e, h)
-			}
+			j.gone(e.Index)
 		}
-		if e.Kind == peer.Errored && j != nil {
-			l.errored(now, j, e.Machine)
+	case h != nil && j != nil:
+		j.giveBack(e.Index)
+	}
+	if e.Kind == peer.Errored && j != nil {
+		l.errored(now, j, e.Machine)
+	}
+}
+
+// replicaEnded takes in the end of a service's task. None is its last, so the task waits again, but
+// only when none of its attempts may run.
+func (l *Leader) replicaEnded(now clock.Micros, b *leasedBlock, j *job, e peer.Event) {
+	if h := b.tasks[e.Task]; h != nil && h.remains && e.Kind == peer.Done {
+		h.remains = false
+		return
+	}
+	h := l.release(b, e.Task)
+	if h != nil && h.running {
+		j.running--
+	}
+	if e.Kind == peer.Done {
+		// It stays listed until its machine has shown a higher token: a late copy of its order would
+		// start it anew.
+		b.orders.Stop = append(b.orders.Stop, peer.StopTask{Task: e.Task})
+		b.orders.Stored = append(b.orders.Stored, e.Task)
+	}
+	if h != nil {
+		j.giveBack(e.Index)
+		if e.Kind != peer.Unplaced {
+			l.fell(now, j, e, h)
 		}
 	}
+	if e.Kind == peer.Errored {
+		l.errored(now, j, e.Machine)
+	}
 }
 
 func (l *Leader) done(now clock.Micros, b *leasedBlock, j *job, e peer.Event) {
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -20,8 +20,8 @@
 type chunk struct {
 	done, saved  []byte // bits
 	dirty        bool
-	progressPage *progressPage // where it is stored
-	former       *progressPage // too large a one, which holds it until the other has it
+	progressPage *progressPage   // where it is written
+	former       []*progressPage // others that hold it, and stay as they are until that one is stored
 }
 
 // shape is what a job's tasks take and where they may be.
--- a/internal/leader/progress.go
+++ b/internal/leader/progress.go
@@ -33,11 +33,12 @@
 
 func chunkBytes(n int) int { return (n+2)/3*4 + 48 }
 
-// place finds a progress page with room for a chunk.
+// place finds a progress page with room for a chunk. One that waits for chunks to be stored
+// elsewhere, maybe this one, is not written before they are.
 func (l *Leader) place(j *job, c int) *progressPage {
 	need := chunkBytes(len(j.chunks[c].done))
 	for _, s := range l.progressPages {
-		if s.size+need <= l.valueBytes {
+		if s.moving == 0 && s.size+need <= l.valueBytes {
 			s.put(j, c)
 			return s
 		}
@@ -70,13 +71,21 @@
 	}
 }
 
-// leaveFormer notes that a progress page that is too large need not hold the chunk any more.
+// keepOn notes that a progress page holds the chunk and is to lose it, once another is stored that
+// has all that is known of it.
+func (c *chunk) keepOn(s *progressPage) {
+	c.former = append(c.former, s)
+	c.dirty = true
+	s.moving++
+	s.dirty = true
+}
+
+// leaveFormer notes that the former progress pages need not hold the chunk any more.
 func (c *chunk) leaveFormer() {
-	if c.former == nil {
-		return
+	for _, s := range c.former {
+		s.moving--
+		s.dirty = true
 	}
-	c.former.moving--
-	c.former.dirty = true
 	c.former = nil
 }
 
@@ -96,16 +105,12 @@
 			ch.done[i] |= u.Bits[i]
 			ch.saved[i] |= u.Bits[i]
 		}
-		if ch.progressPage == nil && ch.former == nil {
+		if ch.progressPage == nil && len(ch.former) == 0 {
 			s.put(j, u.Chunk)
 			continue
 		}
-		// On two progress pages: one of them is enough, once it has what both had.
-		s.dirty, ch.dirty = true, true
-		if ch.former == nil {
-			ch.former = s
-			s.moving++
-		}
+		// On several progress pages: one is enough, once it has what all had.
+		ch.keepOn(s)
 	}
 	if s.size > l.valueBytes {
 		s.split()
@@ -118,10 +123,9 @@
 	s.dirty = true
 	for _, u := range s.units {
 		ch := &u.j.chunks[u.chunk]
-		ch.leaveFormer()
-		ch.progressPage, ch.former, ch.dirty = nil, s, true
+		ch.progressPage = nil
+		ch.keepOn(s)
 	}
-	s.moving += len(s.units)
 	s.units = nil
 }
 
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -256,6 +256,9 @@
 	Running  = "running"  // it has its image
 	Errored  = "errored"  // it failed and is gone from the machine
 	Unplaced = "unplaced" // no room was found
+	// Remains comes before a Done that is not the end of the task's last attempt: another may run in
+	// the block, and its end will be told. The version in production neither sends nor knows it.
+	Remains = "remains"
 )
 
 // Event is a change of a task in a block.
