Scenario world: a history kept outside the service judges every start

The world judged a start only by what other machines held at that moment, and each stand-in worker kept results of its own: a completed task that started elsewhere ran again unnoticed, unless it overlapped. Now results are kept outside the machines, as the protocol says, and a history of orders, starts, completions, grants and stored values judges: a start without a start record, on a machine in no roster record, of an attempt that another machine had, or after its completion was stored; and a token that is granted twice. Restarts that exit at once are told apart and counted. TestHistoryNotices shows of each check that it fires.

--- /dev/null
+++ b/internal/scenario/history_checks_test.go
@@ -0,0 +1,105 @@
+package scenario
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"swiftledge/internal/leader"
+	"swiftledge/internal/peer"
+	"swiftledge/internal/standin"
+	"swiftledge/wire"
+)
+
+// put stores a value as a controller would.
+func (w *world) put(t *testing.T, key string, v any) {
+	t.Helper()
+	raw, err := json.Marshal(v)
+	must(err)
+	if o, problem := w.store.Txn(wire.Txn{Then: []wire.Write{{Put: key, Value: raw}}}); !o.OK {
+		t.Fatal(problem)
+	}
+}
+
+// Each check of the history fires on what breaks it, and on nothing else.
+func TestHistoryNotices(t *testing.T) {
+	const token, machine = 7, "host-000001"
+	attempt := func(n uint64) *standin.Task {
+		return &standin.Task{TaskReport: wire.TaskReport{Task: "j-000001/3", Attempt: token<<peer.AttemptBits | n}, Job: wire.Job{Ref: "j-000001", Tasks: 8}, Index: 3}
+	}
+	page := peer.RecordPage{Token: token, Prefix: "host-", Machines: []string{"000001"}, Groups: []peer.RecordGroup{{Job: "j-000001", Starts: []int{3, 1, 0}}}}
+	roster := leader.FleetRecord{Machines: []string{machine}, Asked: true}
+	done := leader.ProgRecord{Units: []leader.ProgUnit{{Job: "j-000001", Bits: []byte{1 << 3}}}}
+	for _, c := range []struct {
+		name, breaks string
+		play         func(w *world, h *history)
+	}{
+		{"a recorded start on a machine of the roster", "", func(w *world, h *history) {
+			w.put(t, "run/000/7-1", page)
+			w.put(t, leader.FleetPrefix+"r", roster)
+			h.start(machine, attempt(1))
+		}},
+		{"a start without a record", "unrecorded", func(w *world, h *history) {
+			w.put(t, "run/000/7-1", page)
+			w.put(t, leader.FleetPrefix+"r", roster)
+			h.start(machine, attempt(2))
+		}},
+		{"a start whose record was written over", "unrecorded", func(w *world, h *history) {
+			w.put(t, leader.FleetPrefix+"r", roster)
+			w.put(t, "run/000/7-1", page)
+			h.sync()
+			w.put(t, "run/000/7-1", peer.RecordPage{Token: token})
+			h.start(machine, attempt(1))
+		}},
+		{"a start on a machine that is in no roster record", "unlisted", func(w *world, h *history) {
+			w.put(t, "run/000/7-1", page)
+			h.start(machine, attempt(1))
+		}},
+		{"changes that are not kept any more", "", func(w *world, h *history) {
+			w.put(t, "run/000/7-1", page)
+			w.put(t, leader.FleetPrefix+"r", roster)
+			w.store.Forget()
+			h.start(machine, attempt(1))
+		}},
+		{"one attempt on two machines", "attempt_repeated", func(_ *world, h *history) {
+			h.order(machine, attempt(1))
+			h.order("host-000002", attempt(1))
+		}},
+		{"an order that comes twice", "", func(_ *world, h *history) {
+			h.order(machine, attempt(1))
+			h.order(machine, attempt(1))
+		}},
+		{"one token for two grants", "token_repeated", func(_ *world, h *history) {
+			h.grant(peer.Grant{Block: 1, Token: token})
+			h.grant(peer.Grant{Block: 2, Token: token})
+		}},
+		{"a new attempt after the completion was stored", "ran_again", func(w *world, h *history) {
+			h.complete(attempt(1))
+			w.put(t, leader.ProgPrefix+"1-1", done)
+			h.restart(attempt(2))
+		}},
+		{"a new attempt after the job was stored as done", "ran_again", func(w *world, h *history) {
+			h.complete(attempt(1))
+			w.put(t, leader.EndPrefix+"j-000001", leader.EndRecord{State: wire.Done, Tasks: 8})
+			h.restart(attempt(2))
+		}},
+		{"a new attempt before the completion is stored", "", func(w *world, h *history) {
+			h.complete(attempt(1))
+			w.put(t, leader.ProgPrefix+"1-1", leader.ProgRecord{Units: []leader.ProgUnit{{Job: "j-000001", Bits: []byte{0xf7}}}})
+			h.restart(attempt(2))
+		}},
+		{"a late copy of the order of the attempt that completed", "", func(w *world, h *history) {
+			h.complete(attempt(1))
+			w.put(t, leader.ProgPrefix+"1-1", done)
+			h.restart(attempt(1))
+		}},
+	} {
+		w := fleetSizes()[0].world()
+		c.play(w, w.history)
+		w.stop()
+		got := strings.Join(w.broken, "; ")
+		if c.breaks == "" && got != "" || !strings.HasPrefix(got, c.breaks) {
+			t.Errorf("%s: broken %q, want %q", c.name, got, c.breaks)
+		}
+	}
+}
--- /dev/null
+++ b/internal/scenario/history_test.go
@@ -0,0 +1,181 @@
+package scenario
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"swiftledge/internal/block"
+	"swiftledge/internal/leader"
+	"swiftledge/internal/peer"
+	"swiftledge/internal/standin"
+	"swiftledge/wire"
+)
+
+// attemptOn is one attempt of a task on one machine.
+type attemptOn struct {
+	task    string
+	attempt uint64
+	machine string
+}
+
+// history is what has happened on the machines and in the state service, kept apart from the
+// service that is judged by it.
+type history struct {
+	w         *world
+	revision  uint64                 // of the state service, up to which the rest is known
+	pages     map[string][]attemptOn // by key: what a page of start records names
+	recorded  map[attemptOn]int      // in how many pages
+	rosters   map[string][]string    // by key: machines of a roster record
+	rostered  map[string]int         // by machine: in how many roster records
+	progress  map[string]leader.ProgRecord
+	ordered   map[uint64]attemptOn // by number
+	granted   map[uint64]int       // by token: the block
+	completed map[uint64]bool      // attempts that have completed
+	// restarted counts starts of completed tasks, which exit at once, as their result is kept.
+	restarted int
+}
+
+func newHistory(w *world) *history {
+	return &history{w: w, pages: map[string][]attemptOn{}, recorded: map[attemptOn]int{}, rosters: map[string][]string{},
+		rostered: map[string]int{}, progress: map[string]leader.ProgRecord{}, ordered: map[uint64]attemptOn{},
+		granted: map[uint64]int{}, completed: map[uint64]bool{}}
+}
+
+// sync takes in what the state service has stored since.
+func (h *history) sync() {
+	if !h.w.store.Known(h.revision) {
+		items, revision := h.w.store.List("")
+		*h = history{w: h.w, revision: revision, pages: map[string][]attemptOn{}, recorded: map[attemptOn]int{}, rosters: map[string][]string{},
+			rostered: map[string]int{}, progress: map[string]leader.ProgRecord{}, ordered: h.ordered, granted: h.granted,
+			completed: h.completed, restarted: h.restarted}
+		for _, it := range items {
+			h.stored(it.Key, it.Value)
+		}
+		return
+	}
+	changes := h.w.store.Since("", h.revision)
+	h.revision = changes.Revision
+	for _, e := range changes.Events {
+		h.stored(e.Put+e.Delete, e.Value)
+	}
+}
+
+// stored takes in the value of one key; none: it is deleted.
+func (h *history) stored(key string, value []byte) {
+	switch {
+	case strings.HasPrefix(key, "run/"):
+		h.storedPage(key, value)
+	case strings.HasPrefix(key, leader.FleetPrefix):
+		h.storedRoster(key, value)
+	case strings.HasPrefix(key, leader.ProgPrefix):
+		delete(h.progress, key)
+		if value != nil {
+			var r leader.ProgRecord
+			must(json.Unmarshal(value, &r))
+			h.progress[key] = r
+		}
+	}
+}
+
+func (h *history) storedPage(key string, value []byte) {
+	for _, a := range h.pages[key] {
+		h.recorded[a]--
+	}
+	delete(h.pages, key)
+	if value == nil {
+		return
+	}
+	pages, err := block.Pages([]wire.Item{{Key: key, Value: value}})
+	must(err)
+	page := pages[key]
+	var named []attemptOn
+	for i := range page.Groups {
+		group := &page.Groups[i]
+		records, err := page.Records(group)
+		must(err)
+		for _, r := range records {
+			named = append(named, attemptOn{block.TaskName(peer.Task{Job: group.Job, Index: r.Index}), r.Attempt, r.Machine})
+		}
+	}
+	for _, a := range named {
+		h.recorded[a]++
+	}
+	h.pages[key] = named
+}
+
+func (h *history) storedRoster(key string, value []byte) {
+	for _, name := range h.rosters[key] {
+		h.rostered[name]--
+	}
+	delete(h.rosters, key)
+	if value == nil {
+		return
+	}
+	var r leader.FleetRecord
+	must(json.Unmarshal(value, &r))
+	for _, name := range r.Machines {
+		h.rostered[name]++
+	}
+	h.rosters[key] = r.Machines
+}
+
+// order judges a run order that a machine carries out for the first time: attempts never repeat.
+func (h *history) order(machine string, t *standin.Task) {
+	a := attemptOn{t.Task, t.Attempt, machine}
+	if before, ok := h.ordered[t.Attempt]; ok && before != a {
+		h.w.breaks("attempt_repeated: %d is %s on %s and %s on %s", t.Attempt, before.task, before.machine, a.task, a.machine)
+	}
+	h.ordered[t.Attempt] = a
+}
+
+// grant judges a grant of a block: tokens never repeat.
+func (h *history) grant(g peer.Grant) {
+	if b, ok := h.granted[g.Token]; ok {
+		h.w.breaks("token_repeated: %d was granted for block %d and is for block %d", g.Token, b, g.Block)
+	}
+	h.granted[g.Token] = g.Block
+}
+
+// start judges the start of a task that now has its image: it is recorded, its machine is in the
+// durable roster, and its completion is not stored.
+func (h *history) start(machine string, t *standin.Task) {
+	h.sync()
+	if h.recorded[attemptOn{t.Task, t.Attempt, machine}] == 0 {
+		h.w.breaks("unrecorded: %s runs as attempt %d on %s", t.Task, t.Attempt, machine)
+	}
+	if h.rostered[machine] == 0 {
+		h.w.breaks("unlisted: %s runs on %s, which is not in the roster", t.Task, machine)
+	}
+}
+
+// restart judges the start of a task whose result is kept, which exits at once. A late copy of an
+// order may do that whose attempt has completed already (PROTOCOL, "forget"), and so may a new attempt
+// as long as nobody has stored the completion.
+func (h *history) restart(t *standin.Task) {
+	h.sync()
+	h.restarted++
+	if !h.completed[t.Attempt] && h.completionStored(t.Job.Ref, t.Index) {
+		h.w.breaks("ran_again: %s is started as attempt %d after its completion was stored", t.Task, t.Attempt)
+	}
+	h.completed[t.Attempt] = true
+}
+
+// complete notes that an attempt has completed its task.
+func (h *history) complete(t *standin.Task) { h.completed[t.Attempt] = true }
+
+// completionStored says whether the state service knows that a task has completed.
+func (h *history) completionStored(ref string, index int) bool {
+	if _, over := h.w.store.Get(leader.EndPrefix + ref); over {
+		return true
+	}
+	chunk, bit := index/leader.ChunkTasks, index%leader.ChunkTasks
+	for _, r := range h.progress {
+		if slices.ContainsFunc(r.Units, func(u leader.ProgUnit) bool {
+			return u.Job == ref && u.Chunk == chunk && bit/8 < len(u.Bits) && u.Bits[bit/8]&(1<<(bit%8)) != 0
+		}) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/scenario/node_test.go
+++ b/internal/scenario/node_test.go
@@ -309,6 +309,9 @@
 	unheard := func() {}
 	switch x := fx.(type) {
 	case leader.Tell:
+		for _, g := range x.Down.Grants {
+			w.history.grant(g)
+		}
 		l := x.Link.(*simLink)
 		l.carry(l.follower, func() {
 			l.follower.directory.Post(api.PeerReached{})
--- a/internal/scenario/rules_test.go
+++ b/internal/scenario/rules_test.go
@@ -138,6 +138,7 @@
 
 // started judges the rules that can break when a task begins to run.
 func (w *world) started(at *simWorker, t *standin.Task) {
+	w.history.start(at.Name, t)
 	if _, ok := w.begun[t.Job.Ref]; !ok {
 		w.begun[t.Job.Ref] = w.now
 	}
--- a/internal/scenario/worker_test.go
+++ b/internal/scenario/worker_test.go
@@ -41,10 +41,14 @@
 		Lease: w.cfg.LeaseTime(), CPUs: t.CPUs, Memory: t.MemoryGB, FetchS: 1,
 		Find: func(ref string) (wire.Job, bool) { j, ok := w.jobs[ref]; return j, ok },
 		RunS: func(j *wire.Job, i int) float64 { return w.runS[j.Ref] }}}
+	s.Kept = w.kept
+	s.Ordered = func(t *standin.Task) { w.history.order(s.Name, t) }
 	s.Started = func(t *standin.Task) { w.started(s, t) }
+	s.Restarted = w.history.restart
 	s.Ended = func(t *standin.Task) {
 		if t.Cause == wire.CauseDone {
 			w.ran[t.Task]++
+			w.history.complete(t)
 		}
 	}
 	s.Boot(w.now)
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -34,11 +34,13 @@
 	Find func(ref string) (wire.Job, bool)
 	// RunS is how long a task really runs.
 	RunS func(j *wire.Job, index int) float64
-	// Started and Ended tell who watches the rules.
-	Started func(t *Task)
-	Ended   func(t *Task)
-	Kept    map[string]bool // results of completed tasks
-	Tried   map[string]int  // by job: how many run orders it carried out
+	// Ordered, Started, Restarted and Ended tell who watches the rules.
+	Ordered   func(t *Task) // a run order is carried out for an attempt that was not listed
+	Started   func(t *Task)
+	Restarted func(t *Task) // it has its image, and exits at once, as its result is kept
+	Ended     func(t *Task)
+	Kept      map[string]bool // results of completed tasks, outside the machines
+	Tried     map[string]int  // by job: how many run orders it carried out
 
 	renewed clock.Micros
 	images  map[string]bool
@@ -48,7 +50,7 @@
 func (w *Worker) Boot(now clock.Micros) {
 	w.Session, w.renewed = 1, now
 	w.images = map[string]bool{}
-	w.Kept, w.Tried = map[string]bool{}, map[string]int{}
+	w.Tried = map[string]int{}
 }
 
 // Renewed is when the last report that was answered was sent, or the session began.
@@ -84,7 +86,8 @@
 		switch t.State {
 		case wire.Fetching:
 			w.images[t.Job.Image] = true
-			if w.Kept[t.Task] {
+			if w.Kept[w.result(t)] {
+				w.Restarted(t)
 				w.end(t, wire.CauseDone)
 				continue
 			}
@@ -101,7 +104,7 @@
 			if w.Sick {
 				w.end(t, wire.CauseError)
 			} else {
-				w.Kept[t.Task] = true
+				w.Kept[w.result(t)] = true
 				w.end(t, wire.CauseDone)
 			}
 		case wire.Saving:
@@ -112,6 +115,14 @@
 	return changed
 }
 
+// result is where a task's result is kept. A replica of a service may run again elsewhere.
+func (w *Worker) result(t *Task) string {
+	if t.Job.Standing() {
+		return t.Task + " on " + w.Name
+	}
+	return t.Task
+}
+
 func (w *Worker) end(t *Task, cause string) {
 	if t.State == wire.Exited {
 		return
@@ -195,6 +206,7 @@
 	w.Tasks = append(w.Tasks, t)
 	ref, idx, _ := strings.Cut(c.Task, "/")
 	w.Tried[ref]++
+	w.Ordered(t)
 	n, err := strconv.Atoi(idx)
 	job, ok := w.Find(ref)
 	if err != nil || !ok || n >= job.Tasks {
