Random faults over the scenario world; workers that begin anew within a session

A request to the cloud and a direct command may now be carried out late, and a machine that hangs for longer than its lease holds nothing any more.

Now a task that was shown and is listed no more asks for a higher token: the worker lost the old one with its tasks, so only that refuses late copies of their orders.

From reading, the same events also held a second flaw: reports of such a worker look old and were refused without a trace, so that silence proved its tasks gone while its new session, which obeys late orders of the former, had its lease yet.

Without the mends: TestVanishedTaskAsksForAHigherToken: no higher token was asked for TestReportsThatLookOldHideNoLease: taken for gone while its worker reports

--- a/internal/block/dialogue.go
+++ b/internal/block/dialogue.go
@@ -182,6 +182,9 @@
 	id := Of(r.Machine, len(h.holders))
 	b := h.blocks[id]
 	if b == nil || now >= b.expires {
+		if b != nil && b.machines[r.Machine] != nil {
+			b.machines[r.Machine].outdated(now, r)
+		}
 		to := h.holders[id]
 		if to == h.p.Node {
 			to = ""
@@ -200,9 +203,7 @@
 		h.emit(Answer{Tag: msg.Tag, Status: 503})
 		return
 	}
-	if r.Session < m.beatSession || r.Session == m.beatSession && r.Seq <= m.beatSeq {
-		// A late copy: the worker sends one report at a time and has sent a newer one
-		// since. Nobody waits for this answer; it neither renews a lease nor hides silence.
+	if m.outdated(now, r) {
 		h.emit(Answer{Tag: msg.Tag, Status: 503})
 		return
 	}
@@ -216,6 +217,18 @@
 	h.emit(Answer{Tag: msg.Tag, Status: 200, Body: wire.ReportAnswer{Token: b.token, Commands: cmds}})
 }
 
+// outdated says whether a worker's own report is not newer than the last. It is a late copy, as the
+// worker sends one report at a time: nobody waits for an answer, and it renews no lease. Or the worker
+// began anew under its name, and has its lease from then on: it hides that the machine is silent as far
+// as that is to prove something.
+func (m *machine) outdated(now clock.Micros, r *wire.Report) bool {
+	newer := r.Session > m.beatSession || r.Session == m.beatSession && r.Seq > m.beatSeq
+	if !newer {
+		m.stale = now
+	}
+	return !newer
+}
+
 // observe takes in a worker's report and gives the commands to answer it with.
 // beat tells a report of the worker's own from the answer to a direct command.
 func (h *Holder) observe(now clock.Micros, b *heldBlock, m *machine, r *wire.Report, beat bool) []wire.Command {
@@ -286,6 +299,9 @@
 		if listed[i] || rc.state == recording {
 			continue
 		}
+		if rc.state == shown && rc.session == m.session {
+			b.vanished = true
+		}
 		if h.absent(m, rc, beat) {
 			b.lose(rc, peer.Back)
 		} else if rc.state == ordered && rc.stop == goOn {
@@ -306,7 +322,9 @@
 	case rc.inflight > 0:
 		return false // the order may be carried out yet
 	case rc.state == shown:
-		return false // a worker never drops a task by itself within a session
+		// A worker never drops a task by itself within a session. One that began anew has lost it, and
+		// the token too: a late copy of the order would start it again. So a higher token is asked for.
+		return false
 	case rc.state == ordered && (rc.stop == goOn || !beat):
 		// No direct order is on its way. One in a report's answer is carried out
 		// or dropped before the worker's next report of its own.
--- a/internal/block/grant.go
+++ b/internal/block/grant.go
@@ -39,7 +39,7 @@
 		n := b.machine(m.name)
 		n.address, n.typ, n.zone, n.spot = m.address, m.typ, m.zone, m.spot
 		n.session, n.seq, n.beatSession, n.beatSeq = m.session, m.seq, m.beatSession, m.beatSeq
-		n.began = m.began
+		n.began, n.stale = m.began, m.stale
 		n.heard, n.answered, n.notice, n.gone = m.heard, m.answered, m.notice, m.gone
 		n.deaf, n.unanswered, n.images, n.failed = m.deaf, m.unanswered, m.images, m.failed
 	}
--- a/internal/block/holder_test.go
+++ b/internal/block/holder_test.go
@@ -700,3 +700,45 @@
 		t.Errorf("events %v when the last attempt completed", ev)
 	}
 }
+
+// A task that was shown and is listed no more within a session was lost by a worker that began anew
+// under its name. Its order may come late and start it again, as the worker has lost the token, too:
+// nothing is given back before a higher token has been shown, and that is asked for.
+func TestVanishedTaskAsksForAHigherToken(t *testing.T) {
+	h := holding(t)
+	h.Step(later(1), beat("m2", 1, 50, running(2)))
+	if ev := eventsOf(h.Step(later(2), beat("m2", 2, 50))); len(ev) != 0 {
+		t.Errorf("events %v: a late copy of the order may start it again", ev)
+	}
+	asked := func(at clock.Micros) bool {
+		for _, e := range h.Step(at, Tick{}) {
+			if s, ok := e.(Send); ok && len(s.Up.Updates) > 0 && s.Up.Updates[0].Lost {
+				return true
+			}
+		}
+		return false
+	}
+	if asked(now + h.p.Lease/2) {
+		t.Error("asked for a token sooner than a lease after the last")
+	}
+	if !asked(now + h.p.Lease + clock.Second) {
+		t.Error("no higher token was asked for")
+	}
+}
+
+// A worker that began anew sends reports that look older than what is known of it. Its session has its
+// lease from then on, and obeys late orders of the former: silence does not prove its tasks gone.
+func TestReportsThatLookOldHideNoLease(t *testing.T) {
+	h := holding(t)
+	h.Step(now, beat("m2", 9, 50, running(2)))
+	end := now + h.p.LongestGrant.Longer() + h.p.Lease.Longer() + 2*clock.Second
+	h.Step(end-clock.Second, beat("m2", 1, 0)) // under an expired grant, too
+	h.Step(end, Tick{})
+	if len(h.blocks[0].machines["m2"].recs) != 1 {
+		t.Error("taken for gone while its worker reports")
+	}
+	h.Step(end+h.p.Lease.Longer()+clock.Second, Tick{})
+	if len(h.blocks[0].machines["m2"].recs) != 0 {
+		t.Error("not taken for gone a lease after the last report")
+	}
+}
--- a/internal/block/state.go
+++ b/internal/block/state.go
@@ -58,6 +58,7 @@
 	shown                    bool         // has shown our token
 	heard                    clock.Micros
 	answered                 clock.Micros
+	stale                    clock.Micros // when a report last came that is not newer than what is known
 	notice, known, drain     bool
 	gone, lost, dirty        bool
 	rest                     bool // the leader wants no new tasks here
@@ -96,6 +97,7 @@
 	taken    uint64 // of those taken in
 	tell     bool
 	raise    bool // the leader was asked for a new token
+	vanished bool // a worker has lost tasks within a session, so it began anew
 	events   []peer.Event
 }
 
--- a/internal/block/tick.go
+++ b/internal/block/tick.go
@@ -51,7 +51,7 @@
 		// Silence proves the end only after every grant that could have answered, and the
 		// worker's lease. A session has its lease from its beginning, also when none of
 		// its reports was ever answered and its tasks were ordered directly.
-		base := max(m.answered, m.began, b.since+h.p.LongestGrant.Longer())
+		base := max(m.answered, m.began, m.stale, b.since+h.p.LongestGrant.Longer())
 		since := max(m.heard, b.since)
 		quiet := h.p.Lease * 11 / 20
 		if m.notice {
@@ -84,7 +84,9 @@
 		delete(b.machines, name)
 		b.order = slices.DeleteFunc(b.order, func(m *machine) bool { return m.name == name })
 	}
-	if kept > lingering && !b.raise && h.linked {
+	// One that goes on to lose its tasks must not use up the tokens.
+	began := b.vanished && now-b.since > h.p.Lease
+	if (kept > lingering || began) && !b.raise && h.linked {
 		b.raise = true
 		h.askAnew(b)
 	}
--- a/internal/scenario/node_test.go
+++ b/internal/scenario/node_test.go
@@ -260,11 +260,16 @@
 			n.holderStep(done)
 		}
 	}))
-	s.again(w, func() {
+	carryOut := func() {
 		if !s.dead && !s.deaf {
 			s.Orders(w.now, o.Body)
 		}
-	})
+	}
+	if w.commandsLate > 0 && w.rng.Float64() < w.commandsLate {
+		w.after(2*clock.Second+clock.Micros(w.rng.Int64N(int64(14*clock.Second))), carryOut)
+		return
+	}
+	s.again(w, carryOut)
 	s.deliver(w, n, func() {
 		if s.dead || s.deaf {
 			return
@@ -294,19 +299,27 @@
 func (n *simNode) leaderEffect(fx any) {
 	w := n.w
 	during := func(epoch uint64) func() bool { return func() bool { return n.elector.Epoch() == epoch } }
-	// The cloud answers within a quarter of a second, also a leader that is none any more.
-	cloud := func(f, fails func()) {
+	// The cloud answers within a quarter of a second, also a leader that is none any more; or a
+	// request is carried out late, when nobody waits for it any more.
+	cloud := func(f func() any, failed any) {
+		step := func(msg any) {
+			if msg != nil {
+				n.leaderStep(msg)
+			}
+		}
 		w.after(100*clock.Millisecond, func() {
 			switch {
 			case w.apart(n.cfg.Zone, ""):
 			case w.cloudDown:
-				n.still(fails)()
+				n.still(func() { step(failed) })()
+			case w.cloudLate > 0 && w.rng.Float64() < w.cloudLate:
+				w.after(2*clock.Second+clock.Micros(w.rng.Int64N(int64(10*clock.Second))), func() { f() })
+				w.after(5*clock.Second, n.still(func() { step(failed) }))
 			default:
-				n.still(f)()
+				n.still(func() { step(f()) })()
 			}
 		})
 	}
-	unheard := func() {}
 	switch x := fx.(type) {
 	case leader.Tell:
 		for _, g := range x.Down.Grants {
@@ -333,27 +346,23 @@
 	case leader.ReadKey:
 		n.readKey(x)
 	case leader.Rent:
-		cloud(func() {
+		cloud(func() any {
 			names, ok := w.cloud.Rent(w.now, x.Rental)
 			m := leader.Rented{Epoch: x.Epoch, Request: x.Rental.Request, Machines: names, NoCapacity: !ok}
 			if !ok {
 				m.Err = errors.New("no capacity")
 			}
-			n.leaderStep(m)
-		}, func() {
-			n.leaderStep(leader.Rented{Epoch: x.Epoch, Request: x.Rental.Request, Err: errTrouble})
-		})
+			return m
+		}, leader.Rented{Epoch: x.Epoch, Request: x.Rental.Request, Err: errTrouble})
 	case leader.Delete:
-		cloud(func() {
+		cloud(func() any {
 			w.cloud.Delete(x.Machines)
-			n.leaderStep(leader.Deleted{Epoch: x.Epoch, Machines: x.Machines})
-		}, func() {
-			n.leaderStep(leader.Deleted{Epoch: x.Epoch, Machines: x.Machines, Err: errTrouble})
-		})
+			return leader.Deleted{Epoch: x.Epoch, Machines: x.Machines}
+		}, leader.Deleted{Epoch: x.Epoch, Machines: x.Machines, Err: errTrouble})
 	case leader.List:
-		cloud(func() { n.leaderStep(leader.Listed{Machines: w.cloud.List(w.now)}) }, unheard)
+		cloud(func() any { return leader.Listed{Machines: w.cloud.List(w.now)} }, nil)
 	case leader.ReadCatalog:
-		cloud(func() { n.leaderStep(leader.CatalogRead{Types: w.cloud.Types}) }, unheard)
+		cloud(func() any { return leader.CatalogRead{Types: w.cloud.Types} }, nil)
 	case leader.Resign:
 		w.after(1, n.still(func() { n.electorStep(election.Resign{Epoch: n.elector.Epoch()}) }))
 	case leader.Log:
--- /dev/null
+++ b/internal/scenario/random_faults_test.go
@@ -0,0 +1,323 @@
+package scenario
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"swiftledge/internal/clock"
+	"swiftledge/internal/config"
+	"swiftledge/internal/leader"
+	"swiftledge/internal/standin"
+	"swiftledge/wire"
+)
+
+// TestMain fixes how many worlds the random faults are tried on, and which: the same on every run. A
+// longer search is a flag (docs/operations.md).
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "24", "rapid.nofailfile": "true"} {
+		must(flag.Set(name, value))
+	}
+	os.Exit(m.Run())
+}
+
+// fault is one trouble of a random world.
+type fault struct {
+	at, lasts clock.Micros
+	kind      string
+	who       int     // a controller, or the first of the machines
+	many      int     // of the machines
+	share     float64 // of what is lost or late
+}
+
+func (f fault) String() string {
+	return fmt.Sprintf("%.1f s: %s for %.1f s, who %d, many %d, share %.1f", f.at.Seconds(), f.kind, f.lasts.Seconds(), f.who, f.many, f.share)
+}
+
+// faultKinds are the troubles that the operators name (docs/meetings.md); each begins and gives what
+// ends it.
+var faultKinds = map[string]func(w *world, f fault) (end func()){
+	"controller ends":         func(w *world, f fault) func() { return w.endControllers(f.node(w)) },
+	"leader ends":             func(w *world, _ fault) func() { return w.endControllers(w.leaders()...) },
+	"all controllers end":     func(w *world, _ fault) func() { return w.endControllers(w.nodes...) },
+	"controller stands still": func(w *world, f fault) func() { return w.freeze(f, f.node(w)) },
+	"leader stands still":     func(w *world, f fault) func() { return w.freeze(f, w.leaders()...) },
+	"store refuses one":       func(w *world, f fault) func() { return set(&f.node(w).refused) },
+	"store refuses leader":    func(w *world, _ fault) func() { return onLeaders(w, func(n *simNode) *bool { return &n.refused }) },
+	"controller loses peers":  func(w *world, f fault) func() { return set(&f.node(w).cut) },
+	"leader loses store, peers": func(w *world, _ fault) func() {
+		ends := []func(){onLeaders(w, func(n *simNode) *bool { return &n.refused }), onLeaders(w, func(n *simNode) *bool { return &n.cut })}
+		return func() { ends[0](); ends[1]() }
+	},
+	"controller loses workers": func(w *world, f fault) func() { return set(&f.node(w).blind) },
+	"watch hangs":              func(w *world, _ fault) func() { return onLeaders(w, func(n *simNode) *bool { return &n.stale }) },
+	"requests are held":        func(w *world, f fault) func() { f.node(w).holdUntil = w.now + f.lasts; return func() {} },
+	"writes come late":         func(w *world, f fault) func() { return onAll(w, func(n *simNode) *float64 { return &n.late }, f.share) },
+	"answers are lost":         func(w *world, f fault) func() { return onAll(w, func(n *simNode) *float64 { return &n.lost }, f.share) },
+	"store is out":             func(w *world, _ fault) func() { w.store.Down = true; return func() { w.store.Up(w.now) } },
+	"cloud is out":             func(w *world, _ fault) func() { return set(&w.cloudDown) },
+	"cloud is late":            func(w *world, f fault) func() { w.cloudLate = f.share; return func() { w.cloudLate = 0 } },
+	"commands come late":       func(w *world, f fault) func() { w.commandsLate = f.share; return func() { w.commandsLate = 0 } },
+	"zone is cut":              func(w *world, f fault) func() { w.cutZone, w.cutUntil = "b", w.now+f.lasts; return func() {} },
+	"machines are cut":         onMachines(func(_ *world, _ fault, s *simWorker) func() { return set(&s.cut) }),
+	"machines' traffic is held": onMachines(func(w *world, f fault, s *simWorker) func() {
+		s.holdUntil = w.now + f.lasts
+		return func() {}
+	}),
+	"machines hear nothing": onMachines(func(_ *world, _ fault, s *simWorker) func() { return set(&s.deaf) }),
+	"machines are mute":     onMachines(func(_ *world, _ fault, s *simWorker) func() { return set(&s.mute) }),
+	"machines hang": onMachines(func(w *world, f fault, s *simWorker) func() {
+		s.hungUntil = w.now + f.lasts
+		return func() {}
+	}),
+	"machines fail tasks": onMachines(func(_ *world, _ fault, s *simWorker) func() { return set(&s.Sick) }),
+	"machines end": onMachines(func(_ *world, _ fault, s *simWorker) func() {
+		s.dead, s.rented.Dead = true, true
+		return func() {}
+	}),
+	"machines begin anew": onMachines(func(w *world, _ fault, s *simWorker) func() {
+		if !s.dead {
+			s.Reboot(w.now)
+		}
+		return func() {}
+	}),
+	"copies come late": onMachines(func(_ *world, f fault, s *simWorker) func() {
+		s.copies = 25 * clock.Second
+		return func() { s.copies = 0 }
+	}),
+	"reports are kept for the next leader": onMachines(func(_ *world, _ fault, s *simWorker) func() { return set(&s.keeps) }),
+	"machines are taken back": onMachines(func(w *world, f fault, s *simWorker) func() {
+		left := 12.0
+		s.NoticeS = &left
+		s.changed(w)
+		w.after(12*clock.Second, func() { s.rented.Gone = true })
+		return func() {}
+	}),
+	"jobs are called off": func(w *world, f fault) func() {
+		refs := sortedKeys(w.jobs)
+		for i := range min(f.many, len(refs)) {
+			if n := w.nodes[(f.who+i)%len(w.nodes)]; n.alive && n.frozenUntil <= w.now {
+				w.callOff(n, refs[(f.who*7+i*3)%len(refs)])
+			}
+		}
+		return func() {}
+	},
+	"a burst of jobs": func(w *world, f fault) func() {
+		for i := range 3 {
+			w.submitRandom(f.who+i, 40+f.many, 6+f.who)
+		}
+		return func() {}
+	},
+}
+
+func set(b *bool) func() {
+	*b = true
+	return func() { *b = false }
+}
+
+func onLeaders(w *world, flag func(*simNode) *bool) func() {
+	var ends []func()
+	for _, n := range w.leaders() {
+		ends = append(ends, set(flag(n)))
+	}
+	return func() {
+		for _, end := range ends {
+			end()
+		}
+	}
+}
+
+func onAll(w *world, part func(*simNode) *float64, share float64) func() {
+	for _, n := range w.nodes {
+		*part(n) = share
+	}
+	return func() {
+		for _, n := range w.nodes {
+			*part(n) = 0
+		}
+	}
+}
+
+// onMachines does something to as many machines as a fault says, those with most tasks first in
+// every other case.
+func onMachines(each func(*world, fault, *simWorker) func()) func(*world, fault) func() {
+	return func(w *world, f fault) func() {
+		var ends []func()
+		machines := slices.DeleteFunc(slices.Clone(w.workers), func(s *simWorker) bool { return s.dead || s.rented.Gone })
+		if f.who%2 == 0 {
+			slices.SortStableFunc(machines, func(a, b *simWorker) int { return len(b.Tasks) - len(a.Tasks) })
+		}
+		for i := range min(f.many, len(machines)) {
+			ends = append(ends, each(w, f, machines[i]))
+		}
+		return func() {
+			for _, end := range ends {
+				end()
+			}
+		}
+	}
+}
+
+func (f fault) node(w *world) *simNode { return w.nodes[f.who%len(w.nodes)] }
+
+func (w *world) leaders() (out []*simNode) {
+	for _, n := range w.nodes {
+		if n.alive && n.elector.Epoch() > 0 {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+func (w *world) endControllers(ns ...*simNode) func() {
+	for _, n := range ns {
+		if n.alive {
+			n.crash()
+		}
+	}
+	return func() {
+		for _, n := range ns {
+			if !n.alive {
+				n.start()
+			}
+		}
+	}
+}
+
+func (w *world) freeze(f fault, ns ...*simNode) func() {
+	for _, n := range ns {
+		n.frozenUntil = w.now + f.lasts
+	}
+	return func() {}
+}
+
+// submitRandom has a user submit a job to whichever controller takes it.
+func (w *world) submitRandom(i, tasks, run int) {
+	w.submitted++
+	j := wire.Job{Ref: fmt.Sprintf("j-%06d", w.submitted), Class: "l", Team: []string{"red", "blue"}[i%2], Shape: wire.Batch,
+		Priority: []string{wire.Standard, wire.High}[i/2%2], Tasks: tasks, CPUs: 1, MemoryGB: 1,
+		Image: fmt.Sprint("img", i%4), ImageGB: 1, Spot: true, EstimateS: float64(run)}
+	if i%5 == 4 {
+		j.Shape, j.Priority, j.Tasks, j.EstimateS, j.Spot = wire.Service, wire.Production, 2+tasks%6, 0, false
+	}
+	if i%7 == 3 {
+		j.CheckpointS, j.SaveS = 4, 2
+	}
+	w.runS[j.Ref] = float64(run)
+	w.submitAgain(j, i)
+}
+
+// submitAgain repeats a submission until a controller accepts it.
+func (w *world) submitAgain(j wire.Job, i int) {
+	body, err := json.Marshal(j)
+	must(err)
+	w.bodies[j.Ref] = body
+	n := w.nodes[i%len(w.nodes)]
+	if n.alive && n.frozenUntil <= w.now && strings.HasPrefix(w.submit(n, body), "20") {
+		return
+	}
+	w.after(clock.Second, func() { w.submitAgain(j, i+1) })
+}
+
+// randomWorld is a cluster with work for all its machines.
+func randomWorld(seed uint64, machines int) *world {
+	cfg := config.Config{Tuning: config.DefaultTuning()}
+	f := &cfg.Facts
+	f.InitialSize, f.Zones = 3, []string{"a", "b"}
+	for _, name := range []string{"red", "blue"} {
+		f.Teams = append(f.Teams, config.Team{Name: name, CPUs: 100, CPUsMax: 500})
+	}
+	f.Workers.ReportS, f.Workers.LeaseS, f.Workers.CancelS = 3, 17, 40
+	f.State.RPS, f.State.WriteRPS, f.State.ValueKB, f.State.TxnOps = 200, 40, 4, 8
+	f.Cloud.RPS, f.Cloud.ListLagS = 4, 4
+	f.Quota.CPU, f.Quota.MemMB, f.Quota.MaxSockets = 0.2, 250, 3000
+	w := newWorld(cfg, []wire.MachineType{{Name: "small", CPUs: 4, MemoryGB: 8, CacheGB: 40, FetchGBPS: 1, Price: 0.3, SpotPrice: 0.1, BootS: 6, ZoneNames: f.Zones}}, seed)
+	w.cloud.Capacity = machines
+	for i := range machines / 3 {
+		m := w.cloud.Add(0, "small", f.Zones[i%2], i%4 == 0)
+		m.UpAt, m.Listed = 0, 0
+	}
+	return w
+}
+
+const (
+	faultsBegin = 12 * clock.Second
+	faultsEnd   = 75 * clock.Second
+	calmAfter   = 130 * clock.Second
+)
+
+// Whatever troubles overlap, no rule of the protocol breaks, and once they are over all that was
+// accepted runs to its end. A world that breaks one is made smaller until a few faults are left.
+func TestRandomFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		machines := rapid.IntRange(30, 150).Draw(t, "machines")
+		faults := rapid.SliceOfN(rapid.Custom(drawFault), 1, 14).Draw(t, "faults")
+		seed := rapid.Uint64Range(1, 1000).Draw(t, "seed")
+		w := randomWorld(seed, machines)
+		defer w.stop()
+		w.playFaults(faults, machines)
+		if len(w.broken) > 0 {
+			t.Fatalf("%s", strings.Join(w.broken[:min(len(w.broken), 5)], "\n"))
+		}
+	})
+}
+
+func drawFault(t *rapid.T) fault {
+	return fault{
+		at:    clock.Micros(rapid.Int64Range(int64(faultsBegin/clock.Second)*10, int64(faultsEnd/clock.Second)*10).Draw(t, "at")) * clock.Second / 10,
+		lasts: clock.Micros(rapid.Int64Range(2, 350).Draw(t, "lasts")) * clock.Second / 10,
+		kind:  rapid.SampledFrom(sortedKeys(faultKinds)).Draw(t, "kind"),
+		who:   rapid.IntRange(0, 9).Draw(t, "who"),
+		many:  rapid.IntRange(1, 40).Draw(t, "many"),
+		share: float64(rapid.IntRange(1, 6).Draw(t, "share")) / 10,
+	}
+}
+
+// playFaults runs the cluster through the faults and the calm after them.
+func (w *world) playFaults(faults []fault, machines int) {
+	for i := range 8 {
+		w.after(clock.Micros(3+i*7)*clock.Second, func() { w.submitRandom(i, machines*2/3+i*13, 5+i*3) })
+	}
+	for _, f := range faults {
+		w.after(f.at, func() {
+			end := faultKinds[f.kind](w, f)
+			w.after(f.lasts, end)
+		})
+	}
+	w.run(faultsEnd + 40*clock.Second)
+	for _, n := range w.nodes {
+		if !n.alive {
+			n.start()
+		}
+	}
+	w.run(calmAfter)
+	w.judgeEnds()
+}
+
+// judgeEnds says whether all that was accepted is known, and every batch has ended.
+func (w *world) judgeEnds() {
+	for _, ref := range sortedKeys(w.jobs) {
+		r := w.hear(ref, w.nodes[0].svc.Look(ref))
+		j := w.jobs[ref]
+		switch {
+		case r.Code != 200:
+			w.breaks("forgotten: %s is answered %d", ref, r.Code)
+		case !j.Standing() && r.Status.State != wire.Done && r.Status.State != wire.Cancelled:
+			w.breaks("unfinished: %s is %s", ref, r.Status.State)
+		}
+		if _, over := w.store.Get(leader.EndPrefix + ref); !over {
+			continue
+		}
+		for _, s := range w.workers {
+			if !s.dead && slices.ContainsFunc(s.Tasks, func(t *standin.Task) bool { return t.Job.Ref == ref && t.Holds() }) {
+				w.breaks("goes on: %s on %s", ref, s.Name)
+			}
+		}
+	}
+}
--- a/internal/scenario/rules_test.go
+++ b/internal/scenario/rules_test.go
@@ -14,7 +14,7 @@
 
 // troubled says whether anything is wrong that a scenario has brought about.
 func (w *world) troubled() bool {
-	return w.store.Down || w.cloudDown || w.now < w.cutUntil ||
+	return w.store.Down || w.cloudDown || w.cloudLate > 0 || w.commandsLate > 0 || w.now < w.cutUntil ||
 		slices.ContainsFunc(w.nodes, func(n *simNode) bool {
 			return !n.alive || n.refused || n.cut || n.blind || n.stale || n.late > 0 || n.lost > 0 || n.loseAnswers > 0 || n.holdUntil > w.now || n.frozenUntil > w.now
 		}) ||
@@ -153,7 +153,7 @@
 	use := 0.0
 	zones := map[string]int{}
 	on := append(w.holds[t.Job.Team], held{at, t})
-	on = slices.DeleteFunc(on, func(h held) bool { return h.s.dead || !h.t.Holds() })
+	on = slices.DeleteFunc(on, func(h held) bool { return h.s.dead || !h.t.Holds() || h.s.leaseRanOut(w.now) })
 	w.holds[t.Job.Team] = on
 	for _, h := range on {
 		if h.t.Task == t.Task && h.t != t {
--- a/internal/scenario/worker_test.go
+++ b/internal/scenario/worker_test.go
@@ -58,6 +58,12 @@
 	w.byName[s.Name] = s
 }
 
+// leaseRanOut says whether a machine hangs for longer than its lease: it may go on within its lease
+// only, so what it held is gone.
+func (s *simWorker) leaseRanOut(now clock.Micros) bool {
+	return s.hungUntil > now && now > s.Renewed()+s.Lease
+}
+
 // allowed says whether a job's tasks may run on the machine, whatever room it has.
 func (s *simWorker) allowed(j *wire.Job) bool {
 	return (j.Spot || !s.Spot) && (len(j.Types) == 0 || slices.Contains(j.Types, s.Type)) && (j.Zone == "" || j.Zone == s.Zone)
--- a/internal/scenario/world_test.go
+++ b/internal/scenario/world_test.go
@@ -46,7 +46,10 @@
 	cutZone  string
 	cutUntil clock.Micros
 	// The cloud answers 503 to everything.
-	cloudDown bool
+	cloudDown    bool
+	cloudLate    float64 // share of its requests that get no answer and are carried out seconds later
+	commandsLate float64 // the same of the direct commands
+	submitted    int     // jobs that random worlds have submitted
 	told      map[string]string       // by job: the latest state that any node told
 	fits      map[string]clock.Micros // by job: since when it waits beside room for it
 	bodies    map[string][]byte       // submissions
