Reports, records and events that contradict themselves prove nothing

An attempt that a report lists as ended and as going on, under another task's name, or as refused for "busy" beside another attempt that goes on, counts as running; the machine is logged once. A start record, event or update that names a task or block that is not there ended the leader (index out of range), at each takeover anew in the case of a record; it is counted, or left alone, and the rest goes on.

Reading a report is a file of its own (observe.go).

Without the checks: TestContradictoryReportsProveNothing fails, TestTasksThatAreNotThere: panic: runtime error: index out of range [14] with length 1

--- a/internal/block/holder_test.go
+++ b/internal/block/holder_test.go
@@ -742,3 +742,35 @@
 		t.Error("not taken for gone a lease after the last report")
 	}
 }
+
+// A report that contradicts itself proves no end: the attempt counts as running, which is logged once.
+func TestContradictoryReportsProveNothing(t *testing.T) {
+	exit := func(attempt uint64, cause string) wire.TaskReport {
+		return wire.TaskReport{Task: TaskName(task), Attempt: attempt, State: wire.Exited, Cause: cause}
+	}
+	other := exit(2, wire.CauseDone)
+	other.Task = "j-000009/1"
+	for name, tasks := range map[string][]wire.TaskReport{
+		"running and done":          {running(2), exit(2, wire.CauseDone)},
+		"done and running":          {exit(2, wire.CauseDone), running(2)},
+		"the attempt of another":    {other},
+		"busy with another attempt": {exit(2, wire.CauseBusy), running(77)},
+	} {
+		h := holding(t)
+		fx := append(h.Step(later(1), beat("m2", 1, 50, tasks...)), h.Step(later(2), beat("m2", 2, 50, tasks...))...)
+		logged := 0
+		for _, e := range fx {
+			if _, ok := e.(Log); ok {
+				logged++
+			}
+		}
+		ev := slices.DeleteFunc(eventsOf(fx), func(kind string) bool { return kind == peer.Running })
+		if len(ev) != 0 || logged != 1 {
+			t.Errorf("%s: events %v, logged %d times", name, ev, logged)
+		}
+		// Without the contradiction the end counts.
+		if ev := eventsOf(h.Step(later(3), beat("m2", 3, 50, exit(2, wire.CauseDone)))); !slices.Contains(ev, peer.Done) {
+			t.Errorf("%s: events %v after a report that does not contradict itself", name, ev)
+		}
+	}
+}
--- a/internal/block/messages.go
+++ b/internal/block/messages.go
@@ -119,6 +119,11 @@
 		Version uint64
 		Page    peer.RecordPage
 	}
+	// Log is a line for the log.
+	Log struct {
+		Text string
+		Args []any
+	}
 	// Erase removes start records whose tasks are proven gone.
 	Erase struct {
 		Block int
--- /dev/null
+++ b/internal/block/observe.go
@@ -0,0 +1,246 @@
+package block
+
+import (
+	"slices"
+
+	"swiftledge/internal/clock"
+	"swiftledge/internal/peer"
+	"swiftledge/wire"
+)
+
+// observe takes in a worker's report and gives the commands to answer it with.
+// beat tells a report of the worker's own from the answer to a direct command.
+func (h *Holder) observe(now clock.Micros, b *heldBlock, m *machine, r *wire.Report, beat bool) []wire.Command {
+	if r.Session < m.session || (r.Session == m.session && r.Seq <= m.seq) {
+		return []wire.Command{} // older than what is known: it proves nothing
+	}
+	h.noteReport(now, b, m, r)
+	if r.Token != b.token {
+		// Not fenced yet: an older holder's commands may still be carried out, so it proves
+		// nothing. But the answer renews the lease, so it ends what is to be stopped.
+		return m.stops(r)
+	}
+	if !m.shown {
+		m.shown = true
+		b.mark(m)
+	}
+	had := slices.Clone(m.recs)
+	listed, cmds := h.listedTasks(now, b, m, r, had)
+	for i, rc := range had {
+		if listed[i] || rc.state == recording {
+			continue
+		}
+		if rc.state == shown && rc.session == m.session {
+			b.vanished = true
+		}
+		if h.absent(m, rc, beat) {
+			b.lose(rc, peer.Back)
+		} else if rc.state == ordered && rc.stop == goOn {
+			// The direct order has not been seen: the same one again does no harm.
+			cmds = append(cmds, rc.run())
+		}
+	}
+	return cmds
+}
+
+// noteReport takes in what a report newer than all before says of the machine itself.
+func (h *Holder) noteReport(now clock.Micros, b *heldBlock, m *machine, r *wire.Report) {
+	if m.typ != r.Type || m.notice != (r.NoticeS != nil) || m.lost || m.silent && m.deaf == 0 {
+		b.mark(m)
+		m.silent = m.silent && m.deaf > 0
+	}
+	if r.Session > m.session {
+		m.began = now
+	}
+	h.heard = now
+	m.session, m.seq = r.Session, r.Seq
+	m.address, m.typ, m.zone, m.spot = r.Address, r.Type, r.Zone, r.Spot
+	m.notice = r.NoticeS != nil
+	m.heard = now
+	m.lost = false
+}
+
+// stops are the commands that end what is to be stopped of the tasks that a report lists.
+func (m *machine) stops(r *wire.Report) []wire.Command {
+	cmds := []wire.Command{}
+	for _, t := range r.Tasks {
+		if rc := m.find(t.Attempt); rc != nil && rc.stop != goOn && t.State != wire.Exited {
+			cmds = append(cmds, rc.kill())
+		}
+	}
+	return cmds
+}
+
+// listedTasks takes in the tasks that a report lists. It says which of the attempts that were known
+// before are among them, and gives the commands that follow. What a report says of an attempt in
+// contradiction to itself proves nothing: the attempt counts as running.
+func (h *Holder) listedTasks(now clock.Micros, b *heldBlock, m *machine, r *wire.Report, had []*taskAttempt) ([]bool, []wire.Command) {
+	cmds := []wire.Command{}
+	listed := make([]bool, len(had))
+	next := 0
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		at := findFrom(had, next, t.Attempt)
+		if at < 0 {
+			cmds = append(cmds, cleanUp(t))
+			continue
+		}
+		next = at + 1
+		rc := had[at]
+		if rc.state == recording {
+			continue
+		}
+		listed[at] = true
+		if why := contradiction(r.Tasks, i, rc); why != "" {
+			h.complain(m, t, why)
+			continue
+		}
+		if rc.inherited {
+			rc.session = m.session
+		}
+		cmds = h.present(now, b, m, rc, t, cmds)
+	}
+	return listed, cmds
+}
+
+// contradiction says what speaks against the end of an attempt that a report lists at a place, if
+// anything does. Nothing is read into a task that goes on.
+func contradiction(tasks []wire.TaskReport, at int, rc *taskAttempt) string {
+	t := &tasks[at]
+	if t.State != wire.Exited || rc.state == exited {
+		return ""
+	}
+	if t.Task != TaskName(rc.task) {
+		return "an attempt of another task"
+	}
+	for i := range tasks {
+		o := &tasks[i]
+		switch {
+		case i == at || o.Task != t.Task || o.State == wire.Exited:
+		case o.Attempt == t.Attempt:
+			return "an attempt that goes on and has ended"
+		case t.Cause == wire.CauseBusy:
+			return "a task that goes on as another attempt"
+		}
+	}
+	return ""
+}
+
+// complain logs a report that contradicts itself, once for each machine.
+func (h *Holder) complain(m *machine, t *wire.TaskReport, why string) {
+	if !m.complained {
+		m.complained = true
+		h.emit(Log{Text: "contradictory report", Args: []any{"machine", m.name, "task", t.Task, "attempt", t.Attempt, "why", why}})
+	}
+}
+
+// findFrom gives the place of an attempt, or -1. It looks from a place on and around, as reports
+// mostly list the tasks in the order in which they were given.
+func findFrom(attempts []*taskAttempt, from int, attempt uint64) int {
+	for k := range attempts {
+		if at := (from + k) % len(attempts); attempts[at].attempt == attempt {
+			return at
+		}
+	}
+	return -1
+}
+
+// cleanUp is the command for a task without a record: its end was proven and stored, and only what
+// is left of it shows.
+func cleanUp(t *wire.TaskReport) wire.Command {
+	if t.State == wire.Exited {
+		return wire.Command{Op: wire.Forget, Task: t.Task, Attempt: t.Attempt}
+	}
+	atOnce := 0.0
+	return wire.Command{Op: wire.Kill, Task: t.Task, Attempt: t.Attempt, GraceS: &atOnce}
+}
+
+// absent says whether an attempt that a current report does not list is gone.
+func (h *Holder) absent(m *machine, rc *taskAttempt, beat bool) bool {
+	switch {
+	case rc.inherited && rc.state == ordered:
+		return true // ordered under an older token, which this machine obeys no more
+	case rc.session < m.session:
+		return true // the worker's lease ran out: all it had is gone, orders for that session are void
+	case rc.inflight > 0:
+		return false // the order may be carried out yet
+	case rc.state == shown:
+		// A worker never drops a task by itself within a session. One that began anew has lost it, and
+		// the token too: a late copy of the order would start it again. So a higher token is asked for.
+		return false
+	case rc.state == ordered && (rc.stop == goOn || !beat):
+		// No direct order is on its way. One in a report's answer is carried out
+		// or dropped before the worker's next report of its own.
+		return false
+	}
+	return true
+}
+
+func (h *Holder) present(now clock.Micros, b *heldBlock, m *machine, rc *taskAttempt, t *wire.TaskReport, cmds []wire.Command) []wire.Command {
+	if t.State != wire.Exited {
+		if rc.state != shown {
+			rc.state = shown
+			b.mark(m)
+		}
+		if t.State == wire.Running && !rc.running {
+			rc.running, rc.startedAt = true, now
+			b.mark(m)
+			// The image is there now: the report adds it to the machine's cached ones.
+			h.book.Seen(rc.group.Image, m.name, now)
+			m.images.Use(rc.group.Image, rc.group.ImageGB, h.types[m.typ].CacheGB)
+			b.events = append(b.events, peer.Event{Task: rc.task, Kind: peer.Running, Machine: m.name})
+		}
+		if rc.stop == stopWithSave && now > rc.stopAt+clock.FromSeconds(graceFor(rc.group.SaveS)) {
+			rc.stop = stopAtOnce
+		}
+		if rc.stop != goOn {
+			cmds = append(cmds, rc.kill())
+		}
+		return cmds
+	}
+	if rc.state != exited {
+		rc.state = exited
+		b.mark(m)
+	}
+	if !rc.told {
+		ev := peer.Event{Task: rc.task, Machine: m.name}
+		switch t.Cause {
+		case wire.CauseDone:
+			ev.Kind = peer.Done
+			rc.done = true
+			if rc.startedAt > 0 {
+				ev.Secs = (now - rc.startedAt).Seconds()
+			}
+		case wire.CauseError, wire.CauseUnknown:
+			ev.Kind = peer.Errored
+			rc.stored = true
+			if !slices.Contains(m.failed, rc.task.Job) && len(m.failed) < mostFailed {
+				m.failed = append(m.failed, rc.task.Job)
+			}
+		default:
+			ev.Kind = peer.Back
+			rc.stored = true
+		}
+		b.tellEnd(rc, ev)
+		if rc.stored {
+			b.settle(rc)
+		}
+	}
+	if rc.forgettable() {
+		cmds = append(cmds, wire.Command{Op: wire.Forget, Task: t.Task, Attempt: t.Attempt})
+	}
+	return cmds
+}
+
+// forgettable says whether a worker may forget an exited attempt. After that, a
+// copy of its run order that comes late would start it again. A completed task
+// exits at once then, its result being kept, which harms nobody unless its job was
+// cancelled; any other stays listed until the machine has shown a higher token
+// than the order's, which it obeys no more.
+func (r *taskAttempt) forgettable() bool {
+	return r.stored && r.inflight == 0 && (!r.direct || r.done && r.stop == goOn)
+}
+
+// lingering is how many attempts that may not be forgotten yet a block keeps
+// before a higher token is asked for.
+const lingering = 100
--- a/internal/block/state.go
+++ b/internal/block/state.go
@@ -67,6 +67,7 @@
 	deaf                     clock.Micros   // since when it seems not to hear us; 0: it does
 	fenced                   clock.Micros   // when it was last shown our token directly
 	recs                     []*taskAttempt // in the order in which they came
+	complained               bool           // a report of it that contradicts itself was logged
 	failed                   []string       // jobs whose tasks failed here
 	free                     *placement.Machine
 	images                   *placement.Cache
--- a/internal/leader/grants.go
+++ b/internal/leader/grants.go
@@ -215,7 +215,7 @@
 	}
 	// What has no record cannot have been started: the record's guard would fail now.
 	for t := range old {
-		if j := l.jobs[t.Job]; j != nil && b.tasks[t] == nil {
+		if j := l.jobOf(t); j != nil && b.tasks[t] == nil {
 			j.giveBack(t.Index)
 		}
 	}
@@ -233,7 +233,7 @@
 	}
 	b.tasks[t] = h
 	l.charge(h, 1)
-	j := l.jobs[t.Job]
+	j := l.jobOf(t)
 	if old[t] == nil && j != nil {
 		j.takeOut(t.Index)
 	}
--- a/internal/leader/holders.go
+++ b/internal/leader/holders.go
@@ -32,7 +32,7 @@
 		l.emit(Tell{m.Link, d})
 	}
 	for _, u := range m.Up.Updates {
-		if u.Block >= len(l.blocks) {
+		if u.Block < 0 || u.Block >= len(l.blocks) {
 			continue
 		}
 		b := l.blocks[u.Block]
@@ -60,8 +60,17 @@
 	l.stirred = true
 }
 
+// jobOf is the job of a task, or nil when there is none that has such a task.
+func (l *Leader) jobOf(t peer.Task) *job {
+	j := l.jobs[t.Job]
+	if j == nil || t.Index < 0 || t.Index >= j.record.Spec.Tasks {
+		return nil
+	}
+	return j
+}
+
 func (l *Leader) event(now clock.Micros, b *leasedBlock, e peer.Event) {
-	j := l.jobs[e.Job]
+	j := l.jobOf(e.Task)
 	switch e.Kind {
 	case peer.Started:
 		if h := b.tasks[e.Task]; h != nil {
--- a/internal/leader/roster_test.go
+++ b/internal/leader/roster_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"swiftledge/internal/block"
+	"swiftledge/internal/clock"
 	"swiftledge/internal/peer"
 	"swiftledge/internal/store"
 	"swiftledge/wire"
@@ -133,3 +134,29 @@
 		t.Errorf("granted %v", roster)
 	}
 }
+
+// Records, events and updates that name what is not there are counted or left alone; the rest goes on.
+func TestTasksThatAreNotThere(t *testing.T) {
+	page := peer.RecordPage{Machines: names[:1], Groups: []peer.RecordGroup{{Job: spec.Ref, Team: "red", CPUs: 1, Starts: []int{900, 1, 0, -1, 2, 0, 1, 3, 0}}}}
+	l := granting(t, map[string]peer.RecordPage{"p": page})
+	b := l.blocks[block.Of(names[0], 2)]
+	if len(b.tasks) != 3 || l.jobs[spec.Ref].out[1] != 1 || len(l.jobs[spec.Ref].out) != 1 {
+		t.Errorf("%d tasks counted, in grants %v: want all three, of which the job has one", len(b.tasks), l.jobs[spec.Ref].out)
+	}
+	var events []peer.Event
+	for _, index := range []int{900, -1, 2, 64} {
+		for _, kind := range []string{peer.Started, peer.Running, peer.Remains, peer.Done, peer.Errored, peer.Back} {
+			events = append(events, peer.Event{Task: peer.Task{Job: spec.Ref, Index: index}, Kind: kind, Machine: names[0]})
+		}
+	}
+	l.Step(began+clock.Second, Said{Node: "n0", Link: "link", Up: &peer.Up{Epoch: 5, Updates: []peer.BlockUpdate{
+		{Block: -1, Token: b.token}, {Block: 99, Token: b.token}, {Block: b.id, Token: b.token, Events: events}}}})
+	for task := range b.tasks {
+		if task.Index < 0 || task.Index >= spec.Tasks {
+			t.Errorf("task %d counts after its end", task.Index)
+		}
+	}
+	if l.jobs[spec.Ref].nDone != 0 || b.tasks[peer.Task{Job: spec.Ref, Index: 1}] == nil {
+		t.Errorf("%d tasks done, the one that is there counts: %v", l.jobs[spec.Ref].nDone, b.tasks)
+	}
+}
--- a/internal/scenario/node_test.go
+++ b/internal/scenario/node_test.go
@@ -203,6 +203,8 @@
 		}
 	case block.Answer:
 		x.Tag.(func(block.Answer))(x)
+	case block.Log:
+		n.w.breaks("%s: %v", x.Text, x.Args) // the stand-ins never contradict themselves
 	case block.Orders:
 		n.direct(x)
 	case block.Inspect:
