Tests of what may happen while a start is recorded, and of answers to commands as proof

Taking out each condition of the proofs in turn showed four that no test held: an attempt being recorded when its machine's lease ends or it is deleted, the worker's session at the write's end, and an answer to a command as proof of an order in a report's answer. Each turns a test red now.

--- /dev/null
+++ b/internal/block/record_test.go
@@ -0,0 +1,153 @@
+package block
+
+import (
+	"slices"
+	"testing"
+
+	"swiftledge/internal/clock"
+	"swiftledge/internal/peer"
+	"swiftledge/internal/store"
+	"swiftledge/wire"
+)
+
+// runOrders counts the run orders among the effects, direct or in answers.
+func runOrders(fx []any) (n int) {
+	isRun := func(c wire.Command) bool { return c.Op == wire.Run }
+	for _, e := range fx {
+		switch x := e.(type) {
+		case Orders:
+			for _, c := range x.Body.Commands {
+				if isRun(c) {
+					n++
+				}
+			}
+		case Answer:
+			if slices.ContainsFunc(x.Body.Commands, isRun) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// given counts how often the task that is started in these tests was given back.
+func given(fx []any) (n int) {
+	for _, e := range fx {
+		if s, ok := e.(Send); ok {
+			for _, u := range s.Up.Updates {
+				for _, ev := range u.Events {
+					if ev.Job == "j-000009" && ev.Kind == peer.Back {
+						n++
+					}
+				}
+			}
+		}
+	}
+	return n
+}
+
+// While the start record of a task is being written, anything may happen to its machine or its grant.
+// Whatever it is: the task is given back or ordered, never both, and not before the write's end.
+func TestWhatHappensWhileAStartIsRecorded(t *testing.T) {
+	good := store.Outcome{OK: true, Revision: 8}
+	orders := func(o peer.BlockOrders) *peer.Down {
+		o.Token = 50
+		return &peer.Down{Epoch: 9, Orders: []peer.BlockOrders{o}}
+	}
+	next := func(machine string) Report {
+		r := beat(machine, 2, 50)
+		r.R.Session = 2
+		return r
+	}
+	for _, c := range []struct {
+		name    string
+		mean    []any
+		wait    clock.Micros
+		outcome store.Outcome
+		ordered bool
+	}{
+		{"nothing", nil, 0, good, true},
+		{"the worker's next session", []any{next("m1"), next("m2")}, 0, good, false},
+		{"the machine is deleted", []any{orders(peer.BlockOrders{Gone: []string{"m1", "m2"}})}, 0, good, false},
+		{"the task is called off", []any{orders(peer.BlockOrders{Stop: []peer.StopTask{{Task: peer.Task{Job: "j-000009"}}}})}, 0, good, false},
+		{"the grant ends", nil, 25 * clock.Second, good, false},
+		{"the machine's lease ends", []any{}, 45 * clock.Second, good, false},
+		{"the write is refused", nil, 0, store.Outcome{}, false},
+		{"the write gets no answer", nil, 0, store.Outcome{Unsure: true}, false},
+		{"a repeat shows that the write went through", nil, 0, store.Outcome{Unsure: true, Failed: []string{"run/000/50-1"}}, true},
+		{"a page's guard fails at once", nil, 0, store.Outcome{Failed: []string{"run/000/50-1"}}, false},
+		{"the block is another's", nil, 0, store.Outcome{Unsure: true, Failed: []string{Key(0), "run/000/50-1"}}, false},
+	} {
+		h := holding(t)
+		h.Step(now, beat("m1", 1, 50))
+		h.Step(now, beat("m2", 1, 50, running(2)))
+		at := later(1)
+		offer := peer.Offer{Job: wire.Job{Ref: "j-000009", Team: "red", Tasks: 1, CPUs: 1, MemoryGB: 1, Spot: true}, Indexes: []int{0}}
+		var record Record
+		for _, e := range h.Step(at, orders(peer.BlockOrders{Seq: 1, Offers: []peer.Offer{offer}})) {
+			if r, ok := e.(Record); ok {
+				record = r
+			}
+		}
+		var before []any
+		for _, msg := range c.mean {
+			before = append(before, h.Step(at, msg)...)
+		}
+		if c.wait > 0 {
+			at += c.wait
+			before = append(before, h.Step(at, Tick{})...)
+		}
+		// A flush tells the leader of what has gathered.
+		before = append(before, h.Step(at+flushEvery, Tick{})...)
+		if n := runOrders(before); n != 0 || given(before) != 0 {
+			t.Errorf("%s: %d run orders, events %v before the write has ended", c.name, n, eventsOf(before))
+		}
+		after := h.Step(at+flushEvery, record.Settled(c.outcome))
+		after = append(after, h.Step(at+2*flushEvery, Tick{})...)
+		backs := given(after)
+		voided := h.blocks[0] == nil
+		if n := runOrders(after); (n == 1) != c.ordered || !voided && (backs == 1) == c.ordered {
+			t.Errorf("%s: %d run orders and given back %d times, want ordered %v", c.name, n, backs, c.ordered)
+		}
+	}
+}
+
+// A machine whose lease ended while a start on it was recorded, and that is heard again: the task is
+// not given back before the write's end, or it would be ordered as well.
+func TestLeaseEndLeavesWhatIsBeingRecorded(t *testing.T) {
+	h := holding(t)
+	h.Step(now, beat("m1", 1, 50))
+	offer := peer.Offer{Job: wire.Job{Ref: "j-000009", Team: "red", Tasks: 1, CPUs: 1, MemoryGB: 1, Spot: true}, Indexes: []int{0}}
+	h.Step(later(1), &peer.Down{Epoch: 9, Orders: []peer.BlockOrders{{Token: 50, Seq: 1, Offers: []peer.Offer{offer}}}})
+	m := h.blocks[0].machines["m1"]
+	h.tickMachine(h.leaseEnd(h.blocks[0], m)+1, h.blocks[0], m)
+	if !m.lost || len(h.blocks[0].byTask[peer.Task{Job: "j-000009"}]) != 1 {
+		t.Errorf("lost %v, %d attempts: want the one that is being recorded", m.lost, len(h.blocks[0].byTask[peer.Task{Job: "j-000009"}]))
+	}
+	h = holding(t)
+	h.Step(now, beat("m1", 1, 50))
+	h.Step(later(1), &peer.Down{Epoch: 9, Orders: []peer.BlockOrders{{Token: 50, Seq: 1, Offers: []peer.Offer{offer}}}})
+	h.Step(later(1), &peer.Down{Epoch: 9, Orders: []peer.BlockOrders{{Token: 50, Gone: []string{"m1"}}}})
+	if len(h.blocks[0].byTask[peer.Task{Job: "j-000009"}]) != 1 {
+		t.Error("given back while its start is being recorded")
+	}
+}
+
+// An order in a report's answer is carried out or dropped before the worker's next report of its own;
+// the answer to a direct command may have overtaken it and proves nothing.
+func TestAnswerToACommandDoesNotProveAnOrderDropped(t *testing.T) {
+	h := holding(t)
+	h.Step(now, beat("m1", 1, 50))
+	b := h.blocks[0]
+	m := b.machines["m1"]
+	r := &taskAttempt{task: peer.Task{Job: "j-000009"}, attempt: 50<<peer.AttemptBits | 1, m: m, group: &peer.RecordGroup{Job: "j-000009"}, state: ordered, session: 1, stop: stopAtOnce}
+	b.add(r)
+	answer := Ordered{Orders: Orders{Block: 0, Machine: "m1", Body: wire.Orders{Token: 50, Session: 1}}, Status: 200}
+	answer.R = beat("m1", 2, 50).R
+	if h.Step(now, answer); m.find(r.attempt) == nil {
+		t.Error("taken for gone by the answer to a direct command")
+	}
+	if h.Step(now, beat("m1", 3, 50)); m.find(r.attempt) != nil {
+		t.Error("kept although the worker's next report does not list it")
+	}
+}
