Readable leader state: settings, epoch state and effects apart; standard names

The leader's state was one block of some fifty fields that reset() listed again. What lasts for the process, what an epoch starts anew and the effects of a step are types of their own now, by subject. Renamed: tendFleet, tidyRental, bury, held, ticket, tidy and shun are reconcileFleet, pruneRental, markDeleted, grantedTask, pendingRequest, eraseEmptyPages and cordon.

Two more conditions have a test that fails without: no order for a machine whose lease has ended, and a fenced write gives the block up.

--- a/internal/block/cycle.go
+++ b/internal/block/cycle.go
@@ -288,8 +288,8 @@
 	}
 }
 
-// tidy erases pages that name no attempt any more.
-func (h *Holder) tidy(now clock.Micros, b *heldBlock) {
+// eraseEmptyPages erases pages that name no attempt any more.
+func (h *Holder) eraseEmptyPages(now clock.Micros, b *heldBlock) {
 	b.pages = slices.DeleteFunc(b.pages, func(p *page) bool {
 		switch {
 		case len(p.recs) > 0 || p.busy || b.writing != nil && slices.Contains(b.writing.pages, p):
--- a/internal/block/record_test.go
+++ b/internal/block/record_test.go
@@ -106,6 +106,9 @@
 		after = append(after, h.Step(at+2*flushEvery, Tick{})...)
 		backs := given(after)
 		voided := h.blocks[0] == nil
+		if voided != (c.name == "the block is another's") {
+			t.Errorf("%s: the block was given up: %v", c.name, voided)
+		}
 		if n := runOrders(after); (n == 1) != c.ordered || !voided && (backs == 1) == c.ordered {
 			t.Errorf("%s: %d run orders and given back %d times, want ordered %v", c.name, n, backs, c.ordered)
 		}
@@ -133,6 +136,26 @@
 	}
 }
 
+// A machine whose lease has ended when the start on it is recorded gets no order, which its next session
+// would refuse: the task is given back.
+func TestNoOrderForAMachineWhoseLeaseEnded(t *testing.T) {
+	h := holding(t)
+	h.Step(now, beat("m1", 1, 50))
+	offer := peer.Offer{Job: wire.Job{Ref: "j-000009", Team: "red", Tasks: 1, CPUs: 1, MemoryGB: 1, Spot: true}, Indexes: []int{0}}
+	fx := h.Step(later(1), &peer.Down{Epoch: 9, Orders: []peer.BlockOrders{{Token: 50, Seq: 1, Offers: []peer.Offer{offer}}}})
+	for _, e := range fx {
+		if r, ok := e.(Record); ok {
+			m := h.blocks[0].machines["m1"]
+			m.lost = true
+			fx = h.Step(later(2), r.Settled(store.Outcome{OK: true, Revision: 8}))
+		}
+	}
+	fx = append(fx, h.Step(later(3), Tick{})...)
+	if runOrders(fx) != 0 || given(fx) != 1 {
+		t.Errorf("%d run orders, given back %d times", runOrders(fx), given(fx))
+	}
+}
+
 // An order in a report's answer is carried out or dropped before the worker's next report of its own;
 // the answer to a direct command may have overtaken it and proves nothing.
 func TestAnswerToACommandDoesNotProveAnOrderDropped(t *testing.T) {
--- a/internal/block/tick.go
+++ b/internal/block/tick.go
@@ -57,7 +57,7 @@
 		b.raise = true
 		h.askAnew(b)
 	}
-	h.tidy(now, b)
+	h.eraseEmptyPages(now, b)
 	h.compact(now, b)
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -91,7 +91,7 @@
 type Decision struct {
 	Rent   []Order
 	Return []string
-	Shun   []string
+	Cordon []string
 	Rest   []string
 }
 
@@ -214,7 +214,7 @@
 			d.Return = append(d.Return, s.Name)
 		case s.Idle:
 		case !s.Spot:
-			d.Shun = append(d.Shun, s.Name)
+			d.Cordon = append(d.Cordon, s.Name)
 		default:
 			d.Rest = append(d.Rest, s.Name)
 		}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -44,8 +44,8 @@
 	supply := []Supply{{Option: ordinary, Name: "o", Up: true, Idle: true}, {Option: spot, Name: "s", Up: true, Idle: true},
 		{Option: spot, Name: "k", Up: true, Idle: true, Keep: true}, {Option: ordinary, Name: "b", Up: true}}
 	d := Plan([]Need{{CPUs: 4, Spot: true, Tasks: 2, Seconds: 1000}}, supply, nil, p, all)
-	if len(d.Shun) != 1 || d.Shun[0] != "b" {
-		t.Errorf("shuns %v, want the busy ordinary machine", d.Shun)
+	if len(d.Cordon) != 1 || d.Cordon[0] != "b" {
+		t.Errorf("cordons %v, want the busy ordinary machine", d.Cordon)
 	}
 	if len(d.Return) != 1 || d.Return[0] != "o" {
 		t.Errorf("returns %v, want only the idle ordinary machine", d.Return)
--- a/internal/leader/evict.go
+++ b/internal/leader/evict.go
@@ -22,7 +22,7 @@
 // victim is a task that may be stopped for a production job.
 type victim struct {
 	t    peer.Task
-	h    *held
+	h    *grantedTask
 	mem  float64
 	cost float64 // of the work that is lost; less for work of low priority
 }
--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -11,8 +11,8 @@
 	"swiftledge/wire"
 )
 
-// tendFleet rents, returns and gives up machines.
-func (l *Leader) tendFleet(now clock.Micros) {
+// reconcileFleet rents, returns and gives up machines.
+func (l *Leader) reconcileFleet(now clock.Micros) {
 	if now-l.lastFleet < clock.Second/2 {
 		return
 	}
@@ -59,7 +59,7 @@
 				l.emit(Rent{l.epoch, rt.record.Rental})
 			}
 		} else if !rt.busy {
-			l.tidyRental(now, rt)
+			l.pruneRental(now, rt)
 		}
 	}
 	// While many machines are lost, or the cloud answers nothing, those that live are
@@ -194,7 +194,7 @@
 	d := fleet.Plan(flat, supply, opts, fleet.Params{SpotClearS: tune.SpotClearS, OrdinaryClearS: tune.OrdinaryClearS, Reserve: tune.Reserve},
 		func(o fleet.Option) bool { return now >= l.refused[o.Key()].until })
 	l.rest(d, stuck)
-	l.stirred = true // what is shunned no more has room again
+	l.stirred = true // what is no longer cordoned has room again
 	if !rent {
 		return d.Return
 	}
@@ -220,7 +220,7 @@
 	for _, m := range l.machines {
 		m.cordoned, m.rest = false, false
 	}
-	for _, name := range d.Shun {
+	for _, name := range d.Cordon {
 		l.machines[name].cordoned, l.machines[name].rest = !stuck, stuck
 	}
 	for _, name := range d.Rest {
--- a/internal/leader/grants.go
+++ b/internal/leader/grants.go
@@ -20,8 +20,8 @@
 	granted
 )
 
-// held is a task that is in a block's grant: it counts in full.
-type held struct {
+// grantedTask is a task that is in a block's grant: it counts in full.
+type grantedTask struct {
 	team       string
 	cpus, gpus float64
 	zone       string
@@ -41,7 +41,7 @@
 	stamp    uint64
 	holder   string
 	link     any
-	tasks    map[peer.Task]*held
+	tasks    map[peer.Task]*grantedTask
 	offerSeq uint64
 	offered  bool         // an offer is not settled yet
 	known    bool         // its start records were read in this epoch
@@ -110,7 +110,7 @@
 
 func (l *Leader) refusedByStore(name string, now clock.Micros) bool {
 	n := l.nodes[name]
-	return n.badSince > 0 && now-n.badSince > 3*clock.Second
+	return n.refusedSince > 0 && now-n.refusedSince > 3*clock.Second
 }
 
 // blindFor is how long a controller that heard no worker is left without blocks.
@@ -193,7 +193,7 @@
 // chargeRecords replaces what counts as running in a block by what its start records name.
 func (l *Leader) chargeRecords(b *leasedBlock, pages map[string]peer.RecordPage) {
 	old := b.tasks
-	b.tasks = map[peer.Task]*held{}
+	b.tasks = map[peer.Task]*grantedTask{}
 	b.unstored = nil
 	b.offered = false
 	b.orders = peer.BlockOrders{Block: b.id, Token: b.token}
@@ -222,12 +222,12 @@
 }
 
 // chargeRecord counts one start record. A task of a job that is over or unknown is to be stopped.
-func (l *Leader) chargeRecord(b *leasedBlock, group *peer.RecordGroup, r peer.Record, old map[peer.Task]*held) {
+func (l *Leader) chargeRecord(b *leasedBlock, group *peer.RecordGroup, r peer.Record, old map[peer.Task]*grantedTask) {
 	t := peer.Task{Job: group.Job, Index: r.Index}
 	if b.tasks[t] != nil {
 		return
 	}
-	h := &held{team: group.Team, cpus: group.CPUs, gpus: group.GPUs, machine: r.Machine, inherited: true}
+	h := &grantedTask{team: group.Team, cpus: group.CPUs, gpus: group.GPUs, machine: r.Machine, inherited: true}
 	if m := l.machines[r.Machine]; m != nil {
 		h.zone = m.opt.Zone
 	}
@@ -269,14 +269,14 @@
 	}
 }
 
-func (l *Leader) charge(h *held, sign float64) {
+func (l *Leader) charge(h *grantedTask, sign float64) {
 	u := l.use(h.team)
 	u.cpus += sign * h.cpus
 	u.gpus += sign * h.gpus
 }
 
 // release takes a task out of a block's grant.
-func (l *Leader) release(b *leasedBlock, t peer.Task) *held {
+func (l *Leader) release(b *leasedBlock, t peer.Task) *grantedTask {
 	h := b.tasks[t]
 	if h != nil {
 		delete(b.tasks, t)
--- a/internal/leader/holders.go
+++ b/internal/leader/holders.go
@@ -18,9 +18,9 @@
 		n.blindAt = now
 	}
 	if m.Up.StoreOK {
-		n.badSince = 0
-	} else if n.badSince == 0 {
-		n.badSince = now
+		n.refusedSince = 0
+	} else if n.refusedSince == 0 {
+		n.refusedSince = now
 	}
 	if m.Up.Renew > 0 && l.loaded && l.authorised(now) && l.current(now) {
 		d := peer.Down{Epoch: l.epoch, Renewed: m.Up.Renew, Tokens: map[int]uint64{}, StoreOK: l.storeOK()}
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -286,7 +286,7 @@
 
 // fell notes that a replica has ended and is to run again elsewhere; one that keeps
 // ending by itself waits longer each time.
-func (l *Leader) fell(now clock.Micros, j *job, e peer.Event, h *held) {
+func (l *Leader) fell(now clock.Micros, j *job, e peer.Event, h *grantedTask) {
 	r := j.replicas[e.Index]
 	if r == nil {
 		r = &replica{}
@@ -317,7 +317,7 @@
 }
 
 // rose notes that a replica runs, again or for the first time.
-func (l *Leader) rose(now clock.Micros, j *job, t peer.Task, h *held) {
+func (l *Leader) rose(now clock.Micros, j *job, t peer.Task, h *grantedTask) {
 	r := j.replicas[t.Index]
 	if r == nil || r.since == 0 {
 		if !h.inherited {
@@ -355,7 +355,7 @@
 // runsWell says whether a replica of a service has run for a while, so that one that
 // fails elsewhere is its machine's fault.
 func (l *Leader) runsWell(now clock.Micros, j *job) (well bool) {
-	l.eachHeld(j, func(h *held) { well = well || h.running && now-h.since > steady })
+	l.eachHeld(j, func(h *grantedTask) { well = well || h.running && now-h.since > steady })
 	return well
 }
 
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -27,8 +27,8 @@
 	blindAt clock.Micros // when it last heard none of its workers
 	tried   clock.Micros // when it was last given a block after that
 	// until when it is busy with the workers of the block that it took over last
-	busyUntil clock.Micros
-	badSince  clock.Micros // since when the state service refuses it; 0: it does not
+	busyUntil    clock.Micros
+	refusedSince clock.Micros // since when the state service refuses it; 0: it does not
 }
 
 type machine struct {
@@ -63,57 +63,74 @@
 	asked  clock.Micros
 	since  clock.Micros // when it was first wanted here
 	// when machines that are gone were last taken out of its record
-	tidied clock.Micros
+	prunedAt clock.Micros
 }
 
 // refusal is how long an option is left alone that the cloud had too little of.
 type refusal struct{ until, wait clock.Micros }
 
-// Leader is the actor's state; it is made anew for each epoch.
+// Leader is the actor's state.
 type Leader struct {
-	cfg                                                                 *config.Config
-	self                                                                string
-	epoch                                                               uint64
-	run                                                                 uint64
-	leading                                                             bool
-	loaded                                                              bool
-	until                                                               clock.Micros
-	began                                                               clock.Micros
-	viewed                                                              clock.Micros // the jobs are known as they were then, or later
-	tokens                                                              uint64
-	blocks                                                              []*leasedBlock
-	nodes                                                               map[string]*node
-	jobs                                                                map[string]*job
-	usage                                                               map[string]*use
-	machines                                                            map[string]*machine
-	rentals                                                             map[string]*rental
-	gone                                                                map[string]bool
-	unanswered                                                          map[string]bool // rentals of former leaders without a stored answer
-	doubtful                                                            map[string]bool // machines that only start records name meanwhile
-	classesSeen                                                         map[string]bool // classes of which a job has come in this epoch
-	types                                                               map[string]wire.MachineType
-	typeList                                                            []wire.MachineType
-	refused                                                             map[fleet.OptionKey]refusal
-	classes                                                             map[string]*classStat
-	rentSeq                                                             int
-	progressPages                                                       []*progressPage
-	progressPageSeq                                                     int
-	progressAt, lastPlan                                                clock.Micros
-	found                                                               map[string]wire.Machine
-	lastList, lastCounts, lastState, lastFleet, lastSchedule, lastEvict clock.Micros
-	listing                                                             bool
-	deleting                                                            int // deletions under way
-	catalogAt                                                           clock.Micros
-	stirred                                                             bool // something changed that may let tasks start
-	urgent                                                              bool // a job has come
-	counts                                                              map[string]peer.TaskCount
-	fx                                                                  []any
-	storeOK                                                             func() bool
-	wall                                                                clock.Micros       // the time of day less the steady clock
-	within                                                              map[string]float64 // by class: in how many seconds its jobs are expected done
-	teams                                                               map[string]config.Team
-	valueBytes, txnOps                                                  int                // most that a value and a transaction hold
-	awaited                                                             map[string]float64 // by class: in how many seconds its tasks are expected to start, and never to be done
+	settings
+	epochState
+	fx []any // effects of the step under way
+}
+
+// settings are what stays the same for as long as the process runs.
+type settings struct {
+	cfg     *config.Config
+	self    string
+	storeOK func() bool
+	teams   map[string]config.Team
+	within  map[string]float64 // by class: in how many seconds its jobs are expected done
+	awaited map[string]float64 // by class: in how many seconds its tasks are expected to start, and never to be done
+}
+
+// epochState is made anew for each epoch.
+type epochState struct {
+	epoch   uint64
+	run     uint64
+	leading bool
+	loaded  bool
+	until   clock.Micros // of our authority
+	began   clock.Micros
+	viewed  clock.Micros // the jobs are known as they were then, or later
+	wall    clock.Micros // the time of day less the steady clock
+
+	// Most that a value and a transaction of the state service hold.
+	valueBytes, txnOps int
+
+	nodes  map[string]*node
+	blocks []*leasedBlock
+	tokens uint64 // how many this epoch has given
+
+	jobs        map[string]*job
+	usage       map[string]*use           // by team
+	classes     map[string]*classStat     // by class
+	classesSeen map[string]bool           // classes of which a job has come in this epoch
+	counts      map[string]peer.TaskCount // by job: what was last told of it
+	stirred     bool                      // something changed that may let tasks start
+	urgent      bool                      // a job has come
+
+	progressPages   []*progressPage
+	progressPageSeq int
+
+	machines   map[string]*machine
+	rentals    map[string]*rental
+	rentSeq    int
+	gone       map[string]bool         // machines whose end is proven
+	found      map[string]wire.Machine // machines that nobody here knows to have rented
+	unanswered map[string]bool         // rentals of former leaders without a stored answer
+	doubtful   map[string]bool         // machines that only start records name meanwhile
+	types      map[string]wire.MachineType
+	typeList   []wire.MachineType
+	refused    map[fleet.OptionKey]refusal
+	listing    bool
+	deleting   int // deletions under way
+
+	// When each of what is done now and then was last done.
+	lastList, lastCounts, lastState, lastFleet, lastPlan clock.Micros
+	lastSchedule, lastEvict, progressAt, catalogAt       clock.Micros
 }
 
 type use struct{ cpus, gpus float64 }
@@ -131,7 +148,7 @@
 
 // New makes a leader that does not lead yet.
 func New(cfg *config.Config, storeOK func() bool) *Leader {
-	l := &Leader{cfg: cfg, self: cfg.Name, storeOK: storeOK, within: map[string]float64{}, awaited: map[string]float64{}, teams: map[string]config.Team{}}
+	l := &Leader{settings: settings{cfg: cfg, self: cfg.Name, storeOK: storeOK, within: map[string]float64{}, awaited: map[string]float64{}, teams: map[string]config.Team{}}}
 	for _, o := range cfg.Facts.Objectives {
 		if o.Kind == "finished" {
 			l.within[o.Class] = o.WithinS
@@ -154,9 +171,14 @@
 }
 
 func (l *Leader) reset() {
-	*l = Leader{cfg: l.cfg, within: l.within, awaited: l.awaited, valueBytes: l.cfg.ValueBytes(), txnOps: l.cfg.TxnOps(), teams: l.teams, self: l.self, storeOK: l.storeOK, nodes: map[string]*node{}, jobs: map[string]*job{}, usage: map[string]*use{},
-		machines: map[string]*machine{}, rentals: map[string]*rental{}, gone: map[string]bool{}, unanswered: map[string]bool{}, doubtful: map[string]bool{}, classesSeen: map[string]bool{}, types: map[string]wire.MachineType{},
-		refused: map[fleet.OptionKey]refusal{}, classes: map[string]*classStat{}, found: map[string]wire.Machine{}, counts: map[string]peer.TaskCount{}}
+	l.epochState = epochState{
+		valueBytes: l.cfg.ValueBytes(), txnOps: l.cfg.TxnOps(),
+		nodes: map[string]*node{},
+		jobs:  map[string]*job{}, usage: map[string]*use{}, classes: map[string]*classStat{}, classesSeen: map[string]bool{}, counts: map[string]peer.TaskCount{},
+		machines: map[string]*machine{}, rentals: map[string]*rental{}, gone: map[string]bool{}, found: map[string]wire.Machine{},
+		unanswered: map[string]bool{}, doubtful: map[string]bool{},
+		types: map[string]wire.MachineType{}, refused: map[fleet.OptionKey]refusal{},
+	}
 }
 
 // Step takes one message at a time.
@@ -304,7 +326,7 @@
 		l.lastState = now
 		l.logState(now)
 	}
-	l.tendFleet(now)
+	l.reconcileFleet(now)
 }
 
 // logState sums up queues and room for whoever reads a debug log.
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -192,13 +192,13 @@
 func TestOrdinaryMachinesServeWhileTheCloudIsAway(t *testing.T) {
 	b := &leasedBlock{state: granted}
 	m := &machine{name: "m", block: b}
-	l := &Leader{machines: map[string]*machine{"m": m}}
-	d := fleet.Decision{Shun: []string{"m"}}
+	l := &Leader{epochState: epochState{machines: map[string]*machine{"m": m}}}
+	d := fleet.Decision{Cordon: []string{"m"}}
 	if l.rest(d, false); !m.cordoned || m.rest {
-		t.Errorf("shunned %v, at rest %v; want shunned", m.cordoned, m.rest)
+		t.Errorf("cordoned %v, at rest %v; want cordoned", m.cordoned, m.rest)
 	}
 	if l.rest(d, true); m.cordoned || !m.rest {
-		t.Errorf("shunned %v, at rest %v while the cloud is away; want at rest", m.cordoned, m.rest)
+		t.Errorf("cordoned %v, at rest %v while the cloud is away; want at rest", m.cordoned, m.rest)
 	}
 }
 
@@ -410,13 +410,13 @@
 	rt := &rental{key: "fleet/old", stamp: 3, record: FleetRecord{Machines: many, Asked: true}}
 	l.gone[many[0]] = true
 	l.fx = nil
-	if l.tidyRental(began+clock.Minute, rt); len(l.fx) > 0 {
+	if l.pruneRental(began+clock.Minute, rt); len(l.fx) > 0 {
 		t.Error("a record that is too large is written as it is")
 	}
 	for _, name := range many[:150] {
 		l.gone[name] = true
 	}
-	if l.tidyRental(began+2*clock.Minute, rt); len(l.fx) != 1 || len(rt.record.Machines) != 50 {
+	if l.pruneRental(began+2*clock.Minute, rt); len(l.fx) != 1 || len(rt.record.Machines) != 50 {
 		t.Errorf("%d machines left in the record, written %d times", len(rt.record.Machines), len(l.fx))
 	}
 }
@@ -572,7 +572,7 @@
 	f.InitialSize, f.Quota.CPU, f.Workers.ReportS, f.Workers.LeaseS = 3, cpu, 3, 17
 	l.blocks = nil
 	for i, h := range holders {
-		l.blocks = append(l.blocks, &leasedBlock{id: i, holder: h, known: true, tasks: map[peer.Task]*held{}})
+		l.blocks = append(l.blocks, &leasedBlock{id: i, holder: h, known: true, tasks: map[peer.Task]*grantedTask{}})
 	}
 	for _, m := range l.machines {
 		m.block = l.blocks[0]
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -36,7 +36,7 @@
 	// Machines belong to blocks, so these come first.
 	for i := range n {
 		k := block.Key(i)
-		l.blocks = append(l.blocks, &leasedBlock{id: i, stamp: stamps[k], holder: holders[k].Holder, tasks: map[peer.Task]*held{}})
+		l.blocks = append(l.blocks, &leasedBlock{id: i, stamp: stamps[k], holder: holders[k].Holder, tasks: map[peer.Task]*grantedTask{}})
 	}
 	for _, it := range m.Items {
 		switch {
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -36,7 +36,7 @@
 		return
 	}
 	if s.Gone {
-		l.bury(s.Name)
+		l.markDeleted(s.Name)
 		return
 	}
 	if s.Type == "" {
@@ -134,12 +134,12 @@
 			mc.deleting = false
 			continue
 		}
-		l.bury(name)
+		l.markDeleted(name)
 	}
 }
 
-// bury takes out a machine that is deleted.
-func (l *Leader) bury(name string) {
+// markDeleted takes out a machine that is deleted.
+func (l *Leader) markDeleted(name string) {
 	delete(l.machines, name)
 	l.gone[name] = true
 	if b := l.blockOf(name); b.state == granted {
--- a/internal/leader/rentals.go
+++ b/internal/leader/rentals.go
@@ -39,20 +39,20 @@
 	l.commit(store.Starts, fleetTag{rt.key}, []wire.Guard{{Key: rt.key, Version: rt.stamp}}, []wire.Write{put(rt.key, rt.record)})
 }
 
-// tidyEvery is how long machines that are gone may stay in the roster: there they do
+// pruneEvery is how long machines that are gone may stay in the roster: there they do
 // no harm but to a new leader, which waits for them a while, and each write costs a put.
-const tidyEvery = 20 * clock.Second
+const pruneEvery = 20 * clock.Second
 
 // rosterBytes is about what a machine takes in its record, with its part of the rest.
 const rosterBytes = 20
 
-// tidyRental takes machines that are gone out of the durable roster.
-func (l *Leader) tidyRental(now clock.Micros, rt *rental) {
+// pruneRental takes machines that are gone out of the durable roster.
+func (l *Leader) pruneRental(now clock.Micros, rt *rental) {
 	left := slices.DeleteFunc(slices.Clone(rt.record.Machines), func(n string) bool { return l.gone[n] })
-	if len(left) > 0 && (len(left) == len(rt.record.Machines) || now-rt.tidied < tidyEvery) {
+	if len(left) > 0 && (len(left) == len(rt.record.Machines) || now-rt.prunedAt < pruneEvery) {
 		return
 	}
-	rt.tidied = now
+	rt.prunedAt = now
 	if len(left)*rosterBytes > l.valueBytes {
 		return // of the time when values could be larger: it stays as it is until less is left
 	}
@@ -137,14 +137,14 @@
 		l.answered(now, rt, len(m.Machines) < rt.record.Rental.Count)
 		l.emit(Log{Debug: true, Text: "rented", Args: []any{"request", m.Request, "count", len(m.Machines), "type", rt.record.Rental.Type, "spot", rt.record.Rental.Spot}})
 		if len(m.Machines) == 0 {
-			l.tidyRental(now, rt)
+			l.pruneRental(now, rt)
 			return
 		}
 		l.writeRental(rt)
 	case m.NoCapacity:
 		l.answered(now, rt, true)
 		rt.record.Asked = true
-		l.tidyRental(now, rt)
+		l.pruneRental(now, rt)
 	default:
 		// Asked again under the same name, soon.
 		rt.asked = now - 6*clock.Second
--- a/internal/leader/room.go
+++ b/internal/leader/room.go
@@ -33,7 +33,7 @@
 	if on == nil {
 		on = map[string]int{}
 		if s.Standing() {
-			l.eachHeld(j, func(h *held) { on[h.machine] = sibling })
+			l.eachHeld(j, func(h *grantedTask) { on[h.machine] = sibling })
 		}
 		for name := range j.errAt {
 			on[name] = failed
@@ -189,12 +189,12 @@
 	if !z.job.OneZone && !z.job.Spread {
 		return z
 	}
-	l.eachHeld(j, func(h *held) { z.n[h.zone]++ })
+	l.eachHeld(j, func(h *grantedTask) { z.n[h.zone]++ })
 	return z
 }
 
 // eachHeld calls f for the job's tasks that are in grants.
-func (l *Leader) eachHeld(j *job, f func(*held)) {
+func (l *Leader) eachHeld(j *job, f func(*grantedTask)) {
 	for i := range j.out {
 		for _, b := range l.blocks {
 			if h := b.tasks[peer.Task{Job: j.record.Spec.Ref, Index: i}]; h != nil {
--- a/internal/leader/roster.go
+++ b/internal/leader/roster.go
@@ -59,7 +59,7 @@
 		if m := l.machines[name]; m != nil {
 			l.drain(now, m, "worked without a stored record")
 		} else {
-			l.bury(name)
+			l.markDeleted(name)
 		}
 	}
 	clear(l.doubtful)
--- a/internal/leader/schedule.go
+++ b/internal/leader/schedule.go
@@ -113,7 +113,7 @@
 		m.cpus -= s.CPUs
 		m.gpus -= s.GPUs
 		m.mem -= s.MemoryGB
-		h := &held{team: s.Team, cpus: s.CPUs, gpus: s.GPUs, zone: zone}
+		h := &grantedTask{team: s.Team, cpus: s.CPUs, gpus: s.GPUs, zone: zone}
 		b.tasks[peer.Task{Job: s.Ref, Index: i}] = h
 		l.charge(h, 1)
 		j.out[i]++
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -66,27 +66,29 @@
 	growBack = 0.1  // of the budget, each second
 )
 
-type ticket struct {
+// pendingRequest waits for its turn in the budget.
+type pendingRequest struct {
 	prio, seq, puts int
 	ready           chan struct{}
 	ctx             context.Context
 }
 
-type tickets []*ticket
+// requestQueue is a heap: the most important request first, then the oldest.
+type requestQueue []*pendingRequest
 
-func (t tickets) Len() int           { return len(t) }
-func (t tickets) Less(i, j int) bool { return t[i].before(t[j]) }
+func (t requestQueue) Len() int           { return len(t) }
+func (t requestQueue) Less(i, j int) bool { return t[i].before(t[j]) }
 
-func (t *ticket) before(o *ticket) bool {
+func (t *pendingRequest) before(o *pendingRequest) bool {
 	if t.prio != o.prio {
 		return t.prio < o.prio
 	}
 	return t.seq < o.seq
 }
 
-func (t tickets) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
-func (t *tickets) Push(x any)   { *t = append(*t, x.(*ticket)) }
-func (t *tickets) Pop() any {
+func (t requestQueue) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+func (t *requestQueue) Push(x any)   { *t = append(*t, x.(*pendingRequest)) }
+func (t *requestQueue) Pop() any {
 	old := *t
 	x := old[len(old)-1]
 	*t = old[:len(old)-1]
@@ -94,7 +96,7 @@
 }
 
 // drop takes requests off the head that nobody waits for any more.
-func (t *tickets) drop() {
+func (t *requestQueue) drop() {
 	for len(*t) > 0 && (*t)[0].ctx.Err() != nil {
 		heap.Pop(t)
 	}
@@ -103,7 +105,7 @@
 // Client is the state service as one node sees it.
 type Client struct {
 	http, watch *fasthttp.HostClient
-	tickets     chan *ticket
+	waiting     chan *pendingRequest
 	budget      chan Budget
 	over        chan struct{} // a 429 came
 	health      func(ok bool)
@@ -114,7 +116,7 @@
 	c := &Client{
 		http:    hostClient(addr, 32),
 		watch:   hostClient(addr, 8),
-		tickets: make(chan *ticket, 256),
+		waiting: make(chan *pendingRequest, 256),
 		budget:  make(chan Budget, 4),
 		over:    make(chan struct{}, 16),
 		health:  health,
@@ -140,7 +142,7 @@
 // pace is the actor that lets requests go within the budget. Reads and writes wait
 // in queues of their own: what waits for puts must not hold up reads, which need none.
 func (c *Client) pace(full Budget) {
-	var reads, writes tickets
+	var reads, writes requestQueue
 	b, use := full, 1.0
 	seq := 0
 	last := time.Now()
@@ -149,7 +151,7 @@
 	defer timer.Stop()
 	for {
 		select {
-		case t := <-c.tickets:
+		case t := <-c.waiting:
 			t.seq = seq
 			seq++
 			if t.puts > 0 {
@@ -195,7 +197,7 @@
 				}
 				break
 			}
-			t := heap.Pop(from).(*ticket)
+			t := heap.Pop(from).(*pendingRequest)
 			req--
 			puts -= float64(t.puts)
 			close(t.ready)
@@ -204,9 +206,9 @@
 }
 
 func (c *Client) admit(ctx context.Context, prio, puts int) error {
-	t := &ticket{prio: prio, puts: puts, ready: make(chan struct{}), ctx: ctx}
+	t := &pendingRequest{prio: prio, puts: puts, ready: make(chan struct{}), ctx: ctx}
 	select {
-	case c.tickets <- t:
+	case c.waiting <- t:
 	case <-ctx.Done():
 		return fmt.Errorf("%w: budget", ErrRefused)
 	}
