--- /dev/null
+++ b/internal/block/proofs_test.go
@@ -0,0 +1,148 @@
+package block
+
+import (
+	"slices"
+	"testing"
+
+	"swiftledge/internal/clock"
+	"swiftledge/internal/peer"
+	"swiftledge/internal/store"
+	"swiftledge/wire"
+)
+
+func exitedAs(attempt uint64, cause string) wire.TaskReport {
+	return wire.TaskReport{Task: TaskName(task), Attempt: attempt, State: wire.Exited, Cause: cause}
+}
+
+// An end is told once, however often the worker lists it: told again, it would be taken for the end of
+// the attempt that the task has then.
+func TestAnEndIsToldOnce(t *testing.T) {
+	h := holding(t)
+	h.Step(now, beat("m1", 1, 50)) // the other attempt's record is stale
+	first := eventsOf(h.Step(later(1), beat("m2", 1, 50, exitedAs(2, wire.CauseStopped))))
+	again := eventsOf(h.Step(later(2), beat("m2", 2, 50, exitedAs(2, wire.CauseStopped))))
+	if !slices.Equal(first, []string{peer.Back}) || len(again) != 0 {
+		t.Errorf("events %v, then %v", first, again)
+	}
+}
+
+// What a late copy of a run order could start again stays listed on its worker.
+func TestWhatMayBeForgotten(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		r    taskAttempt
+		want bool
+	}{
+		{"completed and stored", taskAttempt{done: true, stored: true, direct: true}, true},
+		{"completed, not stored", taskAttempt{done: true, direct: true}, false},
+		{"completed, a direct order without an answer", taskAttempt{done: true, stored: true, direct: true, inflight: 1}, false},
+		{"completed, and to be stopped", taskAttempt{done: true, stored: true, direct: true, stop: stopAtOnce}, false},
+		{"stopped, ordered directly", taskAttempt{stored: true, direct: true}, false},
+		{"stopped, ordered in an answer, which cannot come late", taskAttempt{stored: true}, true},
+	} {
+		if got := c.r.forgettable(); got != c.want {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+}
+
+// A page that is being written keeps its place: a compaction would delete what the write is to hold.
+func TestPageBeingWrittenIsNotCompacted(t *testing.T) {
+	for _, writing := range []bool{false, true} {
+		h := holding(t)
+		b := h.blocks[0]
+		p := b.pages[0]
+		p.stored = 100
+		if writing {
+			b.writing = &cycleWrite{pages: []*page{p}}
+		}
+		h.compact(later(1), b)
+		if (b.compacting == nil) != writing {
+			t.Errorf("being written %v: compacting %v", writing, b.compacting != nil)
+		}
+	}
+}
+
+// A grant that comes again begins nothing anew: numbers of attempts would repeat.
+func TestGrantThatComesAgainIsTheSame(t *testing.T) {
+	h := holding(t)
+	b := h.blocks[0]
+	for _, token := range []uint64{50, 49} {
+		h.Step(now, &peer.Down{Epoch: 9, Grants: []peer.Grant{{Block: 0, Token: token, Stamp: 7}}})
+		if h.blocks[0] != b {
+			t.Errorf("token %d begins a grant after 50", token)
+		}
+	}
+}
+
+// A machine gets no task before it has shown the token: it would obey an older holder's orders, too.
+func TestNoTaskBeforeTheTokenIsShown(t *testing.T) {
+	h := holding(t)
+	h.Step(now, beat("m1", 1, 49))
+	if fitNow(h, now, "m1") {
+		t.Error("gets work under an older token")
+	}
+	h.Step(now, beat("m1", 2, 50))
+	if !fitNow(h, now, "m1") {
+		t.Error("gets no work although it has shown the token")
+	}
+}
+
+// What an older leader says, or what was said of an older grant, changes nothing.
+func TestOlderWordsChangeNothing(t *testing.T) {
+	gone := func(token uint64) []peer.BlockOrders {
+		return []peer.BlockOrders{{Block: 0, Token: token, Gone: []string{"m1"}}}
+	}
+	for name, d := range map[string]*peer.Down{
+		"an older leader's orders":  {Epoch: 8, Orders: gone(50)},
+		"orders of an older grant":  {Epoch: 9, Orders: gone(49)},
+		"an older leader's grant":   {Epoch: 8, Grants: []peer.Grant{{Block: 0, Token: 60, Stamp: 9}}},
+		"an older leader's holders": {Epoch: 8, Holders: []string{"n1"}},
+	} {
+		h := holding(t)
+		h.Step(now, d)
+		if b := h.blocks[0]; b == nil || b.token != 50 || b.machines["m1"].gone {
+			t.Errorf("%s are obeyed", name)
+		}
+	}
+	h := holding(t)
+	expires := h.blocks[0].expires
+	h.Step(now+2*clock.Second, Tick{})
+	h.Step(now+2*clock.Second, &peer.Down{Epoch: 9, Renewed: h.renew, Tokens: map[int]uint64{0: 49}})
+	if h.blocks[0].expires != expires {
+		t.Error("the renewal of an older grant prolongs this one")
+	}
+}
+
+// A direct order names the session in which it is to be carried out, and no other.
+func TestOrderNamesItsSession(t *testing.T) {
+	h := holding(t)
+	third := beat("m1", 1, 50)
+	third.R.Session = 3
+	h.Step(now, third)
+	for _, e := range started(t, h, later(1)) {
+		if o, ok := e.(Orders); ok && o.Machine == "m1" && o.Body.Session != 3 {
+			t.Errorf("an order for session %d, want 3", o.Body.Session)
+		}
+	}
+}
+
+// That a page's guard fails proves an earlier try only while the block is ours.
+func TestFailedGuards(t *testing.T) {
+	r := Record{Block: 0, Token: 50}
+	for _, c := range []struct {
+		name   string
+		o      store.Outcome
+		ok     bool
+		fenced bool
+	}{
+		{"the page's, after a try without an answer", store.Outcome{Unsure: true, Failed: []string{"run/000/50-1"}}, true, false},
+		{"the page's, at once", store.Outcome{Failed: []string{"run/000/50-1"}}, false, false},
+		{"both, after a try without an answer", store.Outcome{Unsure: true, Failed: []string{Key(0), "run/000/50-1"}}, false, true},
+		{"the block's", store.Outcome{Failed: []string{Key(0)}}, false, true},
+	} {
+		if got := r.Settled(c.o); got.OK != c.ok || got.Fenced != c.fenced || got.Never || got.Revision != 0 {
+			t.Errorf("%s: %+v", c.name, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/leader/proofs_test.go
@@ -0,0 +1,167 @@
+package leader
+
+import (
+	"errors"
+	"slices"
+	"testing"
+
+	"swiftledge/internal/block"
+	"swiftledge/internal/clock"
+	"swiftledge/internal/peer"
+	"swiftledge/internal/store"
+	"swiftledge/wire"
+)
+
+// recordsOf is a page whose records name tasks of the job on a machine.
+func recordsOf(machine string, indexes ...int) map[string]peer.RecordPage {
+	g := peer.RecordGroup{Job: spec.Ref, Team: "red", CPUs: 1}
+	for i, index := range indexes {
+		g.Starts = append(g.Starts, index, i+1, 0)
+	}
+	return map[string]peer.RecordPage{"run/" + machine: {Machines: []string{machine}, Groups: []peer.RecordGroup{g}}}
+}
+
+// events are said of a block under a token.
+func saying(b *leasedBlock, token uint64, events ...peer.Event) Said {
+	return Said{Node: "n0", Link: "link", Up: &peer.Up{Epoch: 5, Updates: []peer.BlockUpdate{{Block: b.id, Token: token, Events: events}}}}
+}
+
+func eventOf(index int, kind string) peer.Event {
+	return peer.Event{Task: peer.Task{Job: spec.Ref, Index: index}, Kind: kind, Machine: names[0]}
+}
+
+// What a holder said of an earlier grant, or over an earlier link, gives nothing back.
+func TestEventsOfAnEarlierGrantChangeNothing(t *testing.T) {
+	l := granting(t, recordsOf(names[0], 0, 1))
+	b := l.blocks[block.Of(names[0], 2)]
+	l.Step(began+clock.Second, saying(b, b.token-1, eventOf(0, peer.Back)))
+	other := saying(b, b.token, eventOf(0, peer.Back))
+	other.Link = "an earlier link"
+	l.Step(began+clock.Second, other)
+	if b.tasks[peer.Task{Job: spec.Ref}] == nil {
+		t.Error("given back by the word on an earlier grant")
+	}
+	l.Step(began+clock.Second, saying(b, b.token, eventOf(0, peer.Back)))
+	if h := b.tasks[peer.Task{Job: spec.Ref}]; h != nil && h.inherited {
+		t.Error("not given back by the word on this grant")
+	}
+}
+
+// A task that the records of two blocks name waits until it is gone from both, and not at all once it
+// is done.
+func TestTaskWaitsWhenItHasLeftItsLastGrant(t *testing.T) {
+	l := leading(t)
+	for _, b := range l.blocks {
+		machine := names[slices.IndexFunc(names, func(n string) bool { return block.Of(n, 2) == b.id })]
+		l.Step(began, Records{Epoch: 5, Block: b.id, Token: b.token, Pages: recordsOf(machine, 0)})
+	}
+	j := l.jobs[spec.Ref]
+	l.Step(began, saying(l.blocks[0], l.blocks[0].token, eventOf(0, peer.Back)))
+	if j.out[0] != 1 || j.want[0]&1 != 0 {
+		t.Errorf("in %d grants, waits %v: want one, and not to wait", j.out[0], j.want[0]&1 != 0)
+	}
+	l.Step(began, saying(l.blocks[1], l.blocks[1].token, eventOf(0, peer.Back)))
+	if j.out[0] != 0 || j.want[0]&1 == 0 {
+		t.Errorf("in %d grants, waits %v: want none, and to wait", j.out[0], j.want[0]&1 != 0)
+	}
+	j.markDone(1)
+	j.takeOut(1)
+	if j.giveBack(1); j.want[0]&2 != 0 {
+		t.Error("a completed task waits again")
+	}
+}
+
+// When a block is granted anew, what its records name stays out; only what has none comes back.
+func TestRecordedTasksStayOutWhenABlockIsGrantedAnew(t *testing.T) {
+	l := leading(t)
+	b := l.blocks[block.Of(names[0], 2)]
+	l.Step(began, Records{Epoch: 5, Block: b.id, Token: b.token, Pages: recordsOf(names[0], 0, 1)})
+	j := l.jobs[spec.Ref]
+	b.state = reading
+	l.Step(began, Records{Epoch: 5, Block: b.id, Token: b.token, Pages: recordsOf(names[0], 1)})
+	if j.out[0] != 0 || j.want[0]&1 == 0 || j.out[1] != 1 || j.want[0]&2 != 0 {
+		t.Errorf("in grants %v, waiting %b: want task 1 in one and task 0 to wait", j.out, j.want[0])
+	}
+}
+
+// Records that were read for an earlier grant or epoch may lack what was recorded since.
+func TestRecordsOfAnEarlierGrantAreNotTaken(t *testing.T) {
+	for _, m := range []Records{{Epoch: 4}, {Epoch: 5}} {
+		l := leading(t)
+		b := l.blocks[0]
+		if m.Token = b.token; m.Epoch == 5 {
+			m.Token--
+		}
+		if l.Step(began, m); b.state != reading || b.known {
+			t.Errorf("records of epoch %d and token %d are taken for those of 5 and %d", m.Epoch, m.Token, b.token)
+		}
+	}
+}
+
+// A deletion without a good answer proves nothing, and neither does a list without the machine.
+func TestOnlyAGoodDeletionProvesAMachineGone(t *testing.T) {
+	l := granting(t, nil)
+	l.Step(began+clock.Second, Deleted{Epoch: 5, Machines: names[:1], Err: errors.New("no answer")})
+	l.Step(began+clock.Second, Deleted{Epoch: 4, Machines: names[:1]})
+	for i := range 5 {
+		l.Step(began+clock.Micros(i+2)*clock.Second, Listed{Machines: []wire.Machine{{Name: names[1]}, {Name: names[0], State: wire.Failed}}})
+		l.Step(began+clock.Micros(i+2)*clock.Second, Listed{Machines: []wire.Machine{{Name: names[1]}}})
+		l.Step(began+clock.Micros(i+2)*clock.Second, Tick{})
+	}
+	if l.machines[names[0]] == nil || l.gone[names[0]] {
+		t.Error("taken for gone")
+	}
+	if l.Step(began+8*clock.Second, Deleted{Epoch: 5, Machines: names[:1]}); l.machines[names[0]] != nil || !l.gone[names[0]] {
+		t.Error("not taken for gone after a good answer")
+	}
+}
+
+// A completion is acknowledged only once it is stored, by a write that no late copy can take back.
+func TestCompletionIsAcknowledgedOnceStored(t *testing.T) {
+	l := granting(t, recordsOf(names[0], 0, 1))
+	b := l.blocks[block.Of(names[0], 2)]
+	acknowledged := func(fx []any) (n int) {
+		for _, e := range fx {
+			if x, ok := e.(Tell); ok {
+				for _, o := range x.Down.Orders {
+					n += len(o.Stored)
+				}
+			}
+		}
+		return n
+	}
+	if n := acknowledged(l.Step(began, saying(b, b.token, eventOf(0, peer.Done)))); n != 0 {
+		t.Error("acknowledged before it is written")
+	}
+	var write Commit
+	for _, e := range l.Step(began+progressEvery, Tick{}) {
+		if c, ok := e.(Commit); ok {
+			if _, progress := c.Tag.(progTag); progress {
+				write = c
+			}
+		}
+	}
+	page := write.Txn.Then[0].Put
+	for _, guard := range []wire.Guard{{Key: Key, Version: 5}, {Key: page}} {
+		if !slices.Contains(write.Txn.If, guard) {
+			t.Errorf("the write is not guarded on %v", guard)
+		}
+	}
+	if n := acknowledged(l.Step(began+progressEvery, Committed{Epoch: 5, Tag: write.Tag, Outcome: store.Outcome{Unsure: true, Failed: []string{page}}})); n != 0 {
+		t.Error("acknowledged by a failed guard")
+	}
+	if n := acknowledged(l.Step(began+progressEvery, Committed{Epoch: 5, Tag: write.Tag, Outcome: store.Outcome{OK: true, Revision: 9}})); n != 1 {
+		t.Errorf("%d completions acknowledged, want one", n)
+	}
+}
+
+// While the write of a job's end is under way, its deletion may be that write's own doing.
+func TestOwnEndIsNoAbort(t *testing.T) {
+	l := granting(t, nil)
+	j := l.jobs[spec.Ref]
+	j.ending = true
+	l.Step(began, Watched{Epoch: 5, Asked: began, Events: []wire.Event{{Delete: JobPrefix + spec.Ref, Version: 9}}})
+	if j.cancelled {
+		t.Error("its own end is taken for an abort")
+	}
+}
