An unreadable roster record may name machines that work; more proofs with a test each

While a roster record cannot be read, machines that only start records name are granted, drained, like those of a former leader's unanswered rental: their tasks were taken for gone before. Start records that cannot be read are logged once for each grant, not each second.

Without it: TestMachinesOfAnUnreadableRecordKeepTheirTasks fails.

--- a/internal/block/proofs_test.go
+++ b/internal/block/proofs_test.go
@@ -26,6 +26,19 @@
 	}
 }
 
+// An attempt whose end was told is forgotten while the task runs as another one: that is no end of the
+// other.
+func TestForgettingAnAttemptEndsNoOther(t *testing.T) {
+	h := holding(t)
+	b := h.blocks[0]
+	h.Step(now, beat("m1", 1, 50))
+	h.Step(later(1), beat("m2", 1, 50, exitedAs(2, wire.CauseStopped)))
+	b.add(&taskAttempt{task: task, attempt: 50<<peer.AttemptBits | 1, m: b.machines["m1"], group: &peer.RecordGroup{Job: task.Job}, state: shown, session: 1})
+	if ev := eventsOf(h.Step(later(2), beat("m2", 2, 50))); len(ev) != 0 {
+		t.Errorf("events %v as the former attempt is forgotten", ev)
+	}
+}
+
 // What a late copy of a run order could start again stays listed on its worker.
 func TestWhatMayBeForgotten(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -47,6 +47,8 @@
 		case strings.HasPrefix(it.Key, FleetPrefix):
 			if r, ok := decode[FleetRecord](l, it); ok {
 				l.loadRental(now, it, r)
+			} else {
+				l.unanswered[it.Key] = true // whatever machines it names may work
 			}
 		}
 	}
--- a/internal/leader/proofs_test.go
+++ b/internal/leader/proofs_test.go
@@ -38,7 +38,7 @@
 	other := saying(b, b.token, eventOf(0, peer.Back))
 	other.Link = "an earlier link"
 	l.Step(began+clock.Second, other)
-	if b.tasks[peer.Task{Job: spec.Ref}] == nil {
+	if h := b.tasks[peer.Task{Job: spec.Ref}]; h == nil || !h.inherited {
 		t.Error("given back by the word on an earlier grant")
 	}
 	l.Step(began+clock.Second, saying(b, b.token, eventOf(0, peer.Back)))
@@ -98,18 +98,51 @@
 	}
 }
 
+// After a failed guard on a block's key, only what is read there tells whose it is.
+func TestBlockKeyIsReadBack(t *testing.T) {
+	for _, ours := range []bool{true, false} {
+		l := leading(t)
+		b := l.blocks[0]
+		b.state = writing
+		tag := blocksTag{map[int]uint64{b.id: b.token}}
+		key := block.Key(b.id)
+		l.Step(began, Committed{Epoch: 5, Tag: tag, Outcome: store.Outcome{Unsure: true, Failed: []string{key}}})
+		if b.state != writing {
+			t.Error("taken for written by a failed guard")
+		}
+		record := BlockRecord{Token: b.token, Holder: "n0"}
+		if !ours {
+			record.Token--
+		}
+		l.Step(began, Read{Epoch: 5, Tag: tag, Found: true, Item: item(t, key, 12, record)})
+		if (b.state == reading) != ours || b.stamp != 12 {
+			t.Errorf("ours %v: state %v at version %d", ours, b.state, b.stamp)
+		}
+	}
+}
+
 // A deletion without a good answer proves nothing, and neither does a list without the machine.
 func TestOnlyAGoodDeletionProvesAMachineGone(t *testing.T) {
 	l := granting(t, nil)
 	l.Step(began+clock.Second, Deleted{Epoch: 5, Machines: names[:1], Err: errors.New("no answer")})
 	l.Step(began+clock.Second, Deleted{Epoch: 4, Machines: names[:1]})
-	for i := range 5 {
-		l.Step(began+clock.Micros(i+2)*clock.Second, Listed{Machines: []wire.Machine{{Name: names[1]}, {Name: names[0], State: wire.Failed}}})
-		l.Step(began+clock.Micros(i+2)*clock.Second, Listed{Machines: []wire.Machine{{Name: names[1]}}})
-		l.Step(began+clock.Micros(i+2)*clock.Second, Tick{})
-	}
-	if l.machines[names[0]] == nil || l.gone[names[0]] {
-		t.Error("taken for gone")
+	both := []wire.Machine{{Name: names[1]}, {Name: names[0]}}
+	failed := []wire.Machine{{Name: names[1]}, {Name: names[0], State: wire.Failed}}
+	l.machines[names[0]].state.Silent = true
+	for i, list := range [][]wire.Machine{both, both[:1], both[:1], both[:1], both[:1], failed, failed} {
+		at := began + clock.Micros(i+2)*clock.Second
+		asked := l.Step(at, Listed{Machines: list})
+		asked = append(asked, l.Step(at, Tick{})...)
+		if l.machines[names[0]] == nil || l.gone[names[0]] {
+			t.Errorf("taken for gone by list %d", i)
+		}
+		deletes := slices.ContainsFunc(asked, func(e any) bool { d, ok := e.(Delete); return ok && slices.Contains(d.Machines, names[0]) })
+		if deletes {
+			l.Step(at, Deleted{Epoch: 5, Machines: names[:1], Err: errors.New("no answer")})
+		}
+		if i == 4 && !deletes {
+			t.Error("a machine that is listed no more is not deleted")
+		}
 	}
 	if l.Step(began+8*clock.Second, Deleted{Epoch: 5, Machines: names[:1]}); l.machines[names[0]] != nil || !l.gone[names[0]] {
 		t.Error("not taken for gone after a good answer")
--- a/internal/leader/roster.go
+++ b/internal/leader/roster.go
@@ -12,6 +12,7 @@
 // durable roster only after their proven end. That holds as long as no machine works that no stored
 // record names. A leader of the version in production may have broken it: after a lost answer it can
 // take a rental's record for written that was not. Such a record is still without the cloud's answer.
+// Nor does it hold while a record cannot be read.
 //
 // So while rentals of former leaders are without a stored answer, machines that only start records
 // name are granted as well, drained: their tasks count as running until the answer, or their own
--- a/internal/leader/roster_test.go
+++ b/internal/leader/roster_test.go
@@ -123,6 +123,28 @@
 	}
 }
 
+// So it is while a roster record cannot be read: whatever machines it names may work.
+func TestMachinesOfAnUnreadableRecordKeepTheirTasks(t *testing.T) {
+	l := leading(t)
+	l.Step(began, Deposed{})
+	l.Step(began, Elected{Epoch: 7})
+	l.Step(began, Authority{Until: began + 100*clock.Second})
+	l.Step(began, Joined{Node: "n0", Link: "link"})
+	l.Step(began, Loaded{Epoch: 7, Asked: began, Items: []wire.Item{item(t, LayoutKey, 1, LayoutRecord{Blocks: 1}),
+		{Key: FleetPrefix + "r-3-1", Version: 3, Value: []byte(`{"machines":"host-000009"}`)}}})
+	for _, e := range l.Step(began, Tick{}) {
+		if c, ok := e.(Commit); ok {
+			if tag, ok := c.Tag.(blocksTag); ok {
+				l.Step(began, Committed{Epoch: 7, Tag: tag, Outcome: store.Outcome{OK: true, Revision: 9}})
+			}
+		}
+	}
+	fx := l.Step(began, Records{Epoch: 7, Token: l.blocks[0].token, Pages: recordsOf("host-000009", 0)})
+	if drained, _, roster := orderedOf(fx, 0); !slices.Contains(roster, "host-000009") || !slices.Contains(drained, "host-000009") {
+		t.Errorf("granted %v, drained %v", roster, drained)
+	}
+}
+
 // Without such a rental the roster is complete: what it does not name left it after its proven end,
 // and its tasks are not waited for.
 func TestMachinesThatLeftTheRosterAreNotGranted(t *testing.T) {
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -86,13 +86,17 @@
 }
 
 func (n *Node) loadRecords(ctx context.Context, x leader.LoadRecords) {
+	logged := false
 	for i := 0; ; i++ {
 		items, _, err := n.store.List(ctx, store.Urgent, block.RecordPrefix(x.Block))
 		if err == nil {
 			pages, err := block.Pages(items)
 			if err != nil {
 				// What may run is not known, so the block is not granted.
-				n.log.Error("start records", "block", x.Block, "error", err)
+				if !logged {
+					n.log.Error("start records", "block", x.Block, "error", err)
+				}
+				logged = true
 				time.Sleep(time.Second)
 				continue
 			}
