A stopped task whose order has had no answer is settled by a higher token

The order may be carried out at any time, so absence proves nothing; as it is to be stopped, it is not sent again either. A lease after the stop the block now asks for a higher token, at most once a lease, which refuses the order.

TestFoundWorlds plays both worlds that the search has found. Without the mends both fail, and TestStoppedOrderWithoutAnAnswerAsksForAHigherToken does; without the stop's lease of patience every late answer would cost a grant.

--- a/internal/block/holder_test.go
+++ b/internal/block/holder_test.go
@@ -710,18 +710,51 @@
 	if ev := eventsOf(h.Step(later(2), beat("m2", 2, 50))); len(ev) != 0 {
 		t.Errorf("events %v: a late copy of the order may start it again", ev)
 	}
-	asked := func(at clock.Micros) bool {
-		for _, e := range h.Step(at, Tick{}) {
-			if s, ok := e.(Send); ok && len(s.Up.Updates) > 0 && s.Up.Updates[0].Lost {
-				return true
-			}
-		}
-		return false
-	}
-	if asked(now + h.p.Lease/2) {
+	if asksForToken(h, now+h.p.Lease/2) {
 		t.Error("asked for a token sooner than a lease after the last")
 	}
-	if !asked(now + h.p.Lease + clock.Second) {
+	if !asksForToken(h, now+h.p.Lease+clock.Second) {
+		t.Error("no higher token was asked for")
+	}
+}
+
+// asksForToken says whether a tick has the leader asked for a new grant.
+func asksForToken(h *Holder, at clock.Micros) bool {
+	for _, e := range h.Step(at, Tick{}) {
+		if s, ok := e.(Send); ok && len(s.Up.Updates) > 0 && s.Up.Updates[0].Lost {
+			return true
+		}
+	}
+	return false
+}
+
+// A task is told to stop, to make room, while its direct order has had no answer. The order may be
+// carried out at any time and is not sent again, so no report ever settled it and the job never ended:
+// a higher token is asked for, which refuses the order.
+func TestStoppedOrderWithoutAnAnswerAsksForAHigherToken(t *testing.T) {
+	h := holding(t)
+	h.Step(now, beat("m1", 1, 50))
+	h.Step(now, beat("m2", 1, 50, running(2)))
+	b := h.blocks[0]
+	started(t, h, later(1))
+	one := peer.Task{Job: "j-000009"}
+	m := b.byTask[one][0].m
+	rest := []wire.TaskReport{}
+	if m.name == "m2" {
+		rest = append(rest, running(2))
+	}
+	h.Step(later(2), &peer.Down{Epoch: 9, Orders: []peer.BlockOrders{{Block: 0, Token: 50, Stop: []peer.StopTask{{Task: one}}}}})
+	h.Step(later(3), beat(m.name, 2, 50, rest...))
+	if asksForToken(h, now+h.p.Lease+clock.Second) {
+		t.Error("asked for a token while the answer may come")
+	}
+	at := now + h.p.Lease + 2*clock.Second
+	h.Step(at-clock.Second, &peer.Down{Epoch: 9, Renewed: h.renew, Tokens: map[int]uint64{0: 50}})
+	h.Step(at, beat(m.name, 3, 50, rest...))
+	if len(b.byTask[one]) != 1 {
+		t.Fatal("taken for gone while its order may be carried out")
+	}
+	if !asksForToken(h, at+clock.Second) {
 		t.Error("no higher token was asked for")
 	}
 }
--- a/internal/block/observe.go
+++ b/internal/block/observe.go
@@ -30,8 +30,8 @@
 		if listed[i] || rc.state == recording {
 			continue
 		}
-		if rc.state == shown && rc.session == m.session {
-			b.vanished = true
+		if h.needsHigherToken(now, m, rc) {
+			b.stuck = true
 		}
 		if h.absent(m, rc, beat) {
 			b.lose(rc, peer.Back)
@@ -155,6 +155,17 @@
 	return wire.Command{Op: wire.Kill, Task: t.Task, Attempt: t.Attempt, GraceS: &atOnce}
 }
 
+// needsHigherToken says whether only a higher token settles an attempt that a current report does not
+// list. Either it was shown, so its worker began anew and may be given the order once more by a late
+// copy. Or it is to be stopped while a direct order has had no answer for a lease: it may be carried out
+// at any time, and is not sent again.
+func (h *Holder) needsHigherToken(now clock.Micros, m *machine, rc *taskAttempt) bool {
+	if rc.session != m.session {
+		return false
+	}
+	return rc.state == shown || rc.state == ordered && rc.stop != goOn && rc.inflight > 0 && now-rc.stopAt > h.p.Lease
+}
+
 // absent says whether an attempt that a current report does not list is gone.
 func (h *Holder) absent(m *machine, rc *taskAttempt, beat bool) bool {
 	switch {
@@ -165,9 +176,7 @@
 	case rc.inflight > 0:
 		return false // the order may be carried out yet
 	case rc.state == shown:
-		// A worker never drops a task by itself within a session. One that began anew has lost it, and
-		// the token too: a late copy of the order would start it again. So a higher token is asked for.
-		return false
+		return false // a worker never drops a task by itself within a session; see needsHigherToken
 	case rc.state == ordered && (rc.stop == goOn || !beat):
 		// No direct order is on its way. One in a report's answer is carried out
 		// or dropped before the worker's next report of its own.
--- a/internal/block/state.go
+++ b/internal/block/state.go
@@ -98,7 +98,7 @@
 	taken    uint64 // of those taken in
 	tell     bool
 	raise    bool // the leader was asked for a new token
-	vanished bool // a worker has lost tasks within a session, so it began anew
+	stuck    bool // there are attempts that only a higher token settles
 	events   []peer.Event
 }
 
--- a/internal/block/tick.go
+++ b/internal/block/tick.go
@@ -52,8 +52,8 @@
 		return forgotten
 	})
 	// A worker that goes on to lose its tasks must not use up the tokens.
-	beganAnew := b.vanished && now-b.since > h.p.Lease
-	if (kept > lingering || beganAnew) && !b.raise && h.linked {
+	stuck := b.stuck && now-b.since > h.p.Lease
+	if (kept > lingering || stuck) && !b.raise && h.linked {
 		b.raise = true
 		h.askAnew(b)
 	}
--- a/internal/scenario/random_faults_test.go
+++ b/internal/scenario/random_faults_test.go
@@ -268,6 +268,34 @@
 	})
 }
 
+// Worlds that the long search has found, with what it showed.
+func TestFoundWorlds(t *testing.T) {
+	seconds := func(s float64) clock.Micros { return clock.FromSeconds(s) }
+	for name, c := range map[string]struct {
+		seed     uint64
+		machines int
+		faults   []fault
+	}{
+		"workers begin anew within a session, and their tasks are never given back": {26, 30, []fault{
+			{at: seconds(12), lasts: seconds(0.2), kind: "machines begin anew", many: 25, share: 0.2}}},
+		"a task is stopped for a service while its order has no answer, and never given back": {4, 30, []fault{
+			{at: seconds(59.7), lasts: seconds(35), kind: "a burst of jobs", who: 7, many: 3},
+			{at: seconds(29.4), lasts: seconds(0.9), kind: "jobs are called off", who: 7, many: 17},
+			{at: seconds(14.3), lasts: seconds(33.8), kind: "leader stands still"},
+			{at: seconds(56.5), lasts: seconds(0.4), kind: "machines are cut", many: 1},
+			{at: seconds(59.2), lasts: seconds(0.2), kind: "machines hear nothing", who: 5, many: 40},
+			{at: seconds(57.1), lasts: seconds(0.2), kind: "a burst of jobs", many: 25},
+			{at: seconds(14.2), lasts: seconds(0.3), kind: "machines begin anew", many: 31}}},
+	} {
+		w := randomWorld(c.seed, c.machines)
+		w.playFaults(c.faults, c.machines)
+		w.stop()
+		if len(w.broken) > 0 {
+			t.Errorf("%s: %v", name, w.broken)
+		}
+	}
+}
+
 func drawFault(t *rapid.T) fault {
 	return fault{
 		at:    clock.Micros(rapid.Int64Range(int64(faultsBegin/clock.Second)*10, int64(faultsEnd/clock.Second)*10).Draw(t, "at")) * clock.Second / 10,
