Short steps in load, fleet upkeep, messages and reports; a told end that goes on is killed

Decisions are the same but for one, found on the way: an attempt whose end was told and that a report shows going on (a late copy of its order has come to a worker that began anew) ran on beside the task's next attempt; it is killed now. TestAttemptThatGoesOnAfterItsEndIsKilled fails without.

--- a/internal/block/observe.go
+++ b/internal/block/observe.go
@@ -185,23 +185,10 @@
 	return true
 }
 
+// present takes in an attempt that a current report lists, and gives the commands that follow.
 func (h *Holder) present(now clock.Micros, b *heldBlock, m *machine, rc *taskAttempt, t *wire.TaskReport, cmds []wire.Command) []wire.Command {
 	if t.State != wire.Exited {
-		if rc.state != shown {
-			rc.state = shown
-			b.mark(m)
-		}
-		if t.State == wire.Running && !rc.running {
-			rc.running, rc.startedAt = true, now
-			b.mark(m)
-			// The image is there now: the report adds it to the machine's cached ones.
-			h.book.Seen(rc.group.Image, m.name, now)
-			m.images.Use(rc.group.Image, rc.group.ImageGB, h.types[m.typ].CacheGB)
-			b.events = append(b.events, peer.Event{Task: rc.task, Kind: peer.Running, Machine: m.name})
-		}
-		if rc.stop == stopWithSave && now > rc.stopAt+clock.FromSeconds(graceFor(rc.group.SaveS)) {
-			rc.stop = stopAtOnce
-		}
+		h.goesOn(now, b, m, rc, t)
 		if rc.stop != goOn {
 			cmds = append(cmds, rc.kill())
 		}
@@ -212,25 +199,7 @@
 		b.mark(m)
 	}
 	if !rc.told {
-		ev := peer.Event{Task: rc.task, Machine: m.name}
-		switch t.Cause {
-		case wire.CauseDone:
-			ev.Kind = peer.Done
-			rc.done = true
-			if rc.startedAt > 0 {
-				ev.Secs = (now - rc.startedAt).Seconds()
-			}
-		case wire.CauseError, wire.CauseUnknown:
-			ev.Kind = peer.Errored
-			rc.stored = true
-			if !slices.Contains(m.failed, rc.task.Job) && len(m.failed) < mostFailed {
-				m.failed = append(m.failed, rc.task.Job)
-			}
-		default:
-			ev.Kind = peer.Back
-			rc.stored = true
-		}
-		b.tellEnd(rc, ev)
+		b.tellEnd(rc, rc.end(now, t))
 		if rc.stored {
 			b.settle(rc)
 		}
@@ -241,6 +210,59 @@
 	return cmds
 }
 
+// goesOn takes in an attempt that fetches, runs or saves.
+func (h *Holder) goesOn(now clock.Micros, b *heldBlock, m *machine, rc *taskAttempt, t *wire.TaskReport) {
+	if rc.state != shown {
+		rc.state = shown
+		b.mark(m)
+	}
+	if rc.told {
+		// Its end was told, so its task may run elsewhere: a late copy of its order has come to a
+		// worker that began anew.
+		rc.stop = stopAtOnce
+	}
+	if t.State == wire.Running && !rc.running {
+		rc.running, rc.startedAt = true, now
+		b.mark(m)
+		// The image is there now: the report adds it to the machine's cached ones.
+		h.book.Seen(rc.group.Image, m.name, now)
+		m.images.Use(rc.group.Image, rc.group.ImageGB, h.types[m.typ].CacheGB)
+		b.events = append(b.events, peer.Event{Task: rc.task, Kind: peer.Running, Machine: m.name})
+	}
+	if rc.stop == stopWithSave && now > rc.stopAt+clock.FromSeconds(graceFor(rc.group.SaveS)) {
+		rc.stop = stopAtOnce
+	}
+}
+
+// end is what the leader is told of an attempt that has exited. What a completion proves has yet to be
+// stored; nothing is to be stored of any other end.
+func (r *taskAttempt) end(now clock.Micros, t *wire.TaskReport) peer.Event {
+	e := peer.Event{Task: r.task, Machine: r.m.name}
+	switch t.Cause {
+	case wire.CauseDone:
+		e.Kind = peer.Done
+		r.done = true
+		if r.startedAt > 0 {
+			e.Secs = (now - r.startedAt).Seconds()
+		}
+	case wire.CauseError, wire.CauseUnknown:
+		e.Kind = peer.Errored
+		r.stored = true
+		r.m.noteFailure(r.task.Job)
+	default:
+		e.Kind = peer.Back
+		r.stored = true
+	}
+	return e
+}
+
+// noteFailure remembers that a task of a job failed on the machine.
+func (m *machine) noteFailure(job string) {
+	if !slices.Contains(m.failed, job) && len(m.failed) < mostFailed {
+		m.failed = append(m.failed, job)
+	}
+}
+
 // forgettable says whether a worker may forget an exited attempt. After that, a
 // copy of its run order that comes late would start it again. A completed task
 // exits at once then, its result being kept, which harms nobody unless its job was
--- a/internal/block/proofs_test.go
+++ b/internal/block/proofs_test.go
@@ -39,6 +39,18 @@
 	}
 }
 
+// An attempt whose end was told goes on, as a late copy of its order has come to a worker that began
+// anew: its task may run elsewhere, so it is ended.
+func TestAttemptThatGoesOnAfterItsEndIsKilled(t *testing.T) {
+	h := holding(t)
+	h.Step(now, beat("m1", 1, 50))
+	h.Step(later(1), beat("m2", 1, 50, exitedAs(2, wire.CauseStopped)))
+	cmds := answerOf(t, h.Step(later(2), beat("m2", 2, 50, running(2)))).Body.Commands
+	if len(cmds) != 1 || cmds[0].Op != wire.Kill || *cmds[0].GraceS != 0 {
+		t.Errorf("commands %v, want kill at once", cmds)
+	}
+}
+
 // What a late copy of a run order could start again stays listed on its worker.
 func TestWhatMayBeForgotten(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -11,22 +11,51 @@
 	"swiftledge/wire"
 )
 
+// reconcileEvery is the pause between two looks at the fleet, and planEvery between two plans.
+const (
+	reconcileEvery = clock.Second / 2
+	planEvery      = clock.Second
+)
+
 // reconcileFleet rents, returns and gives up machines.
 func (l *Leader) reconcileFleet(now clock.Micros) {
-	if now-l.lastFleet < clock.Second/2 {
+	if now-l.lastFleet < reconcileEvery {
 		return
 	}
 	l.lastFleet = now
-	lag := clock.FromSeconds(l.cfg.Facts.Cloud.ListLagS)
-	// Lists give way to rentals, which share the cloud's few calls with them.
-	every := max(lag/2, 2*clock.Second)
 	pending := 0
 	for _, rt := range l.rentals {
 		if !rt.record.Asked {
 			pending++
 		}
 	}
-	if pending > 0 {
+	l.askCloud(now, pending > 0)
+	if len(l.types) == 0 {
+		return
+	}
+	// While an answer is out, machines that nobody knows may be its rental's.
+	if pending == 0 {
+		l.adopt(now)
+	}
+	l.reconcileRentals(now)
+	// While many machines are lost, or the cloud answers nothing, those that live are
+	// planned with all the same.
+	doomed := l.doomed(now)
+	for _, name := range doomed {
+		l.machines[name].deleting = true
+	}
+	if now-l.lastPlan >= planEvery {
+		l.lastPlan = now
+		doomed = append(doomed, l.plan(now, pending < 4)...)
+	}
+	l.deleteMachines(doomed)
+}
+
+// askCloud has the machine list and the catalog read when it is time. Lists give way to rentals, which
+// share the cloud's few calls with them.
+func (l *Leader) askCloud(now clock.Micros, renting bool) {
+	every := max(clock.FromSeconds(l.cfg.Facts.Cloud.ListLagS)/2, 2*clock.Second)
+	if renting {
 		every *= 2
 	}
 	if !l.listing && now-l.lastList > every {
@@ -44,17 +73,18 @@
 		l.catalogAt = now
 		l.emit(ReadCatalog{})
 	}
-	if len(l.types) == 0 {
-		return
-	}
-	// While an answer is out, machines that nobody knows may be its rental's.
-	if pending == 0 {
-		l.adopt(now)
-	}
+}
+
+// askAgainAfter is how long a rental's answer is waited for before it is asked for again.
+const askAgainAfter = 8 * clock.Second
+
+// reconcileRentals asks again for rentals without an answer, and takes machines that are gone out of the
+// records of the others.
+func (l *Leader) reconcileRentals(now clock.Micros) {
 	for _, key := range slices.Sorted(maps.Keys(l.rentals)) {
 		rt := l.rentals[key]
 		if !rt.record.Asked {
-			if rt.busy && rt.asked > 0 && now-rt.asked > 8*clock.Second {
+			if rt.busy && rt.asked > 0 && now-rt.asked > askAgainAfter {
 				rt.asked = now
 				l.emit(Rent{l.epoch, rt.record.Rental})
 			}
@@ -62,23 +92,25 @@
 			l.pruneRental(now, rt)
 		}
 	}
-	// While many machines are lost, or the cloud answers nothing, those that live are
-	// planned with all the same.
-	doomed := l.doomed(now)
-	for _, name := range doomed {
-		l.machines[name].deleting = true
-	}
-	if now-l.lastPlan >= clock.Second {
-		l.lastPlan = now
-		doomed = append(doomed, l.plan(now, pending < 4)...)
-	}
+}
+
+const (
+	// mostDeletions is how many deletions may be under way.
+	mostDeletions = 3
+	// mostDeleted is how many machines one deletion may name (PROTOCOL).
+	mostDeleted = 100
+)
+
+// deleteMachines returns machines to the cloud, as many as one deletion may name; the others' turn
+// comes later.
+func (l *Leader) deleteMachines(names []string) {
 	sent := 0
-	if len(doomed) > 0 && l.deleting < 3 {
-		sent = min(len(doomed), 100)
+	if len(names) > 0 && l.deleting < mostDeletions {
+		sent = min(len(names), mostDeleted)
 		l.deleting++
-		l.emit(Delete{l.epoch, doomed[:sent]})
+		l.emit(Delete{l.epoch, names[:sent]})
 	}
-	for i, name := range doomed {
+	for i, name := range names {
 		l.machines[name].deleting = i < sent
 	}
 }
@@ -123,30 +155,15 @@
 			}
 		}
 	}
-	lag := clock.FromSeconds(l.cfg.Facts.Cloud.ListLagS)
 	var out []string
 	for _, name := range slices.Sorted(maps.Keys(l.machines)) {
 		m := l.machines[name]
-		b := m.block
 		if m.deleting {
 			continue
 		}
-		late := clock.FromSeconds(m.opt.Type.BootS*l.cfg.Tuning.Fleet.LateFactor) + lag
-		why := ""
-		switch {
-		case m.missing >= 1000:
-			why = "failed"
-		case m.missing >= 3 && (m.state.Silent || !m.up || now-m.listed > 3*lag+10*clock.Second):
-			why = "no longer listed"
 		// Many silent machines at once point at the holder, not at them.
-		case m.state.Silent && (m.state.Notice || silent[b]*2 < up[b] || silent[b] == 1):
-			why = "silent"
-		case !m.up && (m.booting || m.listed == 0) && b.state == granted && now-m.born > late && now-l.began > late/2:
-			why = "never came up"
-		case m.drain && m.up && m.state.Tasks == 0 && !b.offered:
-			why = "drained"
-		}
-		if why != "" {
+		alone := silent[m.block]*2 < up[m.block] || silent[m.block] == 1
+		if why := l.whyDoomed(now, m, alone); why != "" {
 			out = append(out, name)
 			l.emit(Log{Debug: true, Text: "giving machine up", Args: []any{"machine", name, "why", why}})
 		}
@@ -154,6 +171,26 @@
 	return out
 }
 
+// whyDoomed says why a machine serves nobody any more; "": it does, or may yet. alone: not many of its
+// block are silent.
+func (l *Leader) whyDoomed(now clock.Micros, m *machine, alone bool) string {
+	lag := clock.FromSeconds(l.cfg.Facts.Cloud.ListLagS)
+	late := clock.FromSeconds(m.opt.Type.BootS*l.cfg.Tuning.Fleet.LateFactor) + lag
+	switch {
+	case m.failed:
+		return "failed"
+	case m.missing >= 3 && (m.state.Silent || !m.up || now-m.listed > 3*lag+10*clock.Second):
+		return "no longer listed"
+	case m.state.Silent && (m.state.Notice || alone):
+		return "silent"
+	case !m.up && (m.booting || m.listed == 0) && m.block.state == granted && now-m.born > late && now-l.began > late/2:
+		return "never came up"
+	case m.drain && m.up && m.state.Tasks == 0 && !m.block.offered:
+		return "drained"
+	}
+	return ""
+}
+
 // plan rents what the queues need, if it may, and names idle machines to return.
 func (l *Leader) plan(now clock.Micros, rent bool) []string {
 	flat := l.needs(now)
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -45,7 +45,8 @@
 	out      bool // its holder was told to leave it out
 	state    peer.MachineState
 	listed   clock.Micros // last seen in the list; 0: never
-	missing  int
+	missing  int          // how many lists in a row lacked it
+	failed   bool         // it is listed as stopped by itself
 	idle     clock.Micros // since when it has no task
 	drain    bool
 	deleting bool
@@ -214,27 +215,36 @@
 // cancellations must not let the workers of their tasks go on (config.GrantTime).
 func (l *Leader) current(now clock.Micros) bool { return now < l.viewed+l.cfg.ViewTime().Shorter() }
 
+// handle takes in a message of the epoch. What was asked for in an earlier one is not waited for any more.
 func (l *Leader) handle(now clock.Micros, msg any) {
 	switch m := msg.(type) {
-	case Loaded:
-		if m.Epoch == l.epoch && !l.loaded {
-			l.load(now, m)
-		}
 	case Joined:
-		l.nodes[m.Node] = &node{name: m.Node, run: m.Run, link: m.Link, slow: m.Slow, joined: now, heard: now}
-		// What the node was told over an older link may be lost: its blocks are granted anew.
-		for _, b := range l.blocks {
-			if b.holder == m.Node && b.link != m.Link && b.state != writing {
-				b.state = loose
-			}
-		}
-		l.emit(Tell{m.Link, peer.Down{Epoch: l.epoch, Types: l.typeList, Holders: l.holders()}})
+		l.joined(now, m)
 	case Left:
 		if n := l.nodes[m.Node]; n != nil && n.link == m.Link {
 			delete(l.nodes, m.Node)
 		}
 	case Said:
 		l.said(now, m)
+	case CatalogRead:
+		l.catalog(now, m.Types)
+	case Listed:
+		l.listing = false
+		l.listedMachines(now, m.Machines)
+	case Tick:
+		l.tick(now)
+	default:
+		l.handleAnswer(now, m)
+	}
+}
+
+// handleAnswer takes in what this epoch has asked the state service or the cloud for.
+func (l *Leader) handleAnswer(now clock.Micros, msg any) {
+	switch m := msg.(type) {
+	case Loaded:
+		if m.Epoch == l.epoch && !l.loaded {
+			l.load(now, m)
+		}
 	case Watched:
 		if m.Epoch == l.epoch && l.loaded {
 			for _, e := range m.Events {
@@ -254,11 +264,6 @@
 		if m.Epoch == l.epoch {
 			l.read(now, m)
 		}
-	case CatalogRead:
-		l.catalog(now, m.Types)
-	case Listed:
-		l.listing = false
-		l.listedMachines(now, m.Machines)
 	case Rented:
 		if m.Epoch == l.epoch {
 			l.rented(now, m)
@@ -267,11 +272,21 @@
 		if m.Epoch == l.epoch {
 			l.deleted(now, m)
 		}
-	case Tick:
-		l.tick(now)
 	}
 }
 
+// joined takes in a new link. What the controller was told over an older one may be lost: its blocks
+// are granted anew.
+func (l *Leader) joined(now clock.Micros, m Joined) {
+	l.nodes[m.Node] = &node{name: m.Node, run: m.Run, link: m.Link, slow: m.Slow, joined: now, heard: now}
+	for _, b := range l.blocks {
+		if b.holder == m.Node && b.link != m.Link && b.state != writing {
+			b.state = loose
+		}
+	}
+	l.emit(Tell{m.Link, peer.Down{Epoch: l.epoch, Types: l.typeList, Holders: l.holders()}})
+}
+
 // byName are the controllers in touch in a fixed order: the same state gives the same effects.
 func (l *Leader) byName() []*node {
 	return slices.SortedFunc(maps.Values(l.nodes), func(a, b *node) int { return strings.Compare(a.name, b.name) })
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -10,14 +10,43 @@
 	"swiftledge/wire"
 )
 
+// load takes in what the state service holds at the start of an epoch.
 func (l *Leader) load(now clock.Micros, m Loaded) {
 	l.wall = m.Wall - now
 	l.viewed = m.Asked
-	n := l.cfg.Tuning.Grants.Blocks
-	haveLayout := false
+	l.loadBlocks(m.Items)
+	for _, it := range m.Items {
+		switch {
+		case strings.HasPrefix(it.Key, JobPrefix):
+			if r, ok := decode[JobRecord](l, it); ok {
+				l.addJob(r, it.Version)
+			}
+		case strings.HasPrefix(it.Key, FleetPrefix):
+			if r, ok := decode[FleetRecord](l, it); ok {
+				l.loadRental(now, it, r)
+			} else {
+				l.unanswered[it.Key] = true // whatever machines it names may work
+			}
+		}
+	}
+	l.loadProgress(m.Items)
+	l.loaded = true
+	l.stirred = true
+	l.emit(List{})
+	l.listing = true
+	l.lastList = now
+	l.emit(ReadCatalog{})
+	l.catalogAt = now
+	l.info("leading", "epoch", l.epoch, "jobs", len(l.jobs), "machines", len(l.machines), "blocks", len(l.blocks))
+}
+
+// loadBlocks makes the blocks, to which the machines belong, and learns the machine types. The first
+// leader of a state service stores how many blocks there are.
+func (l *Leader) loadBlocks(items []wire.Item) {
+	n, haveLayout := l.cfg.Tuning.Grants.Blocks, false
 	stamps := map[string]uint64{}
 	holders := map[string]BlockRecord{}
-	for _, it := range m.Items {
+	for _, it := range items {
 		switch {
 		case it.Key == LayoutKey:
 			if r, ok := decode[LayoutRecord](l, it); ok && r.Blocks > 0 {
@@ -33,26 +62,19 @@
 			}
 		}
 	}
-	// Machines belong to blocks, so these come first.
 	for i := range n {
-		k := block.Key(i)
-		l.blocks = append(l.blocks, &leasedBlock{id: i, stamp: stamps[k], holder: holders[k].Holder, tasks: map[peer.Task]*grantedTask{}})
+		key := block.Key(i)
+		l.blocks = append(l.blocks, &leasedBlock{id: i, stamp: stamps[key], holder: holders[key].Holder, tasks: map[peer.Task]*grantedTask{}})
 	}
-	for _, it := range m.Items {
-		switch {
-		case strings.HasPrefix(it.Key, JobPrefix):
-			if r, ok := decode[JobRecord](l, it); ok {
-				l.addJob(r, it.Version)
-			}
-		case strings.HasPrefix(it.Key, FleetPrefix):
-			if r, ok := decode[FleetRecord](l, it); ok {
-				l.loadRental(now, it, r)
-			} else {
-				l.unanswered[it.Key] = true // whatever machines it names may work
-			}
-		}
+	if !haveLayout {
+		l.commit(store.Urgent, nil, []wire.Guard{{Key: LayoutKey}}, []wire.Write{put(LayoutKey, LayoutRecord{n})})
 	}
-	for _, it := range m.Items {
+}
+
+// loadProgress takes in which tasks of the jobs are done. All others wait, until the start records say
+// which of them may run.
+func (l *Leader) loadProgress(items []wire.Item) {
+	for _, it := range items {
 		if strings.HasPrefix(it.Key, ProgPrefix) {
 			if r, ok := decode[ProgRecord](l, it); ok {
 				l.loadProgressPage(it, r)
@@ -66,21 +88,8 @@
 				j.okay = true
 			}
 		}
-	}
-	if !haveLayout {
-		l.commit(store.Urgent, nil, []wire.Guard{{Key: LayoutKey}}, []wire.Write{put(LayoutKey, LayoutRecord{n})})
-	}
-	for _, j := range l.jobs {
 		j.fillWaiting()
 	}
-	l.loaded = true
-	l.stirred = true
-	l.emit(List{})
-	l.listing = true
-	l.lastList = now
-	l.emit(ReadCatalog{})
-	l.catalogAt = now
-	l.info("leading", "epoch", l.epoch, "jobs", len(l.jobs), "machines", len(l.machines), "blocks", n)
 }
 
 func (l *Leader) setTypes(ts []wire.MachineType) {
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -112,9 +112,7 @@
 		}
 		m.listed, m.missing, m.address = now, 0, w.Address
 		m.booting = w.State == wire.Starting
-		if w.State == wire.Failed {
-			m.missing = 1000
-		}
+		m.failed = w.State == wire.Failed
 	}
 	for _, m := range l.machines {
 		if m.listed > 0 && !seen[m.name] {
--- a/internal/scenario/history_test.go
+++ b/internal/scenario/history_test.go
@@ -23,11 +23,9 @@
 // service that is judged by it.
 type history struct {
 	w         *world
-	revision  uint64                 // of the state service, up to which the rest is known
-	pages     map[string][]attemptOn // by key: what a page of start records names
-	recorded  map[attemptOn]int      // in how many pages
-	rosters   map[string][]string    // by key: machines of a roster record
-	rostered  map[string]int         // by machine: in how many roster records
+	revision  uint64           // of the state service, up to which the rest is known
+	recorded  named[attemptOn] // by pages of start records
+	rostered  named[string]    // machines, by roster records
 	progress  map[string]leader.ProgRecord
 	ordered   map[uint64]attemptOn // by number
 	granted   map[uint64]int       // by token: the block
@@ -37,18 +35,43 @@
 }
 
 func newHistory(w *world) *history {
-	return &history{w: w, pages: map[string][]attemptOn{}, recorded: map[attemptOn]int{}, rosters: map[string][]string{},
-		rostered: map[string]int{}, progress: map[string]leader.ProgRecord{}, ordered: map[uint64]attemptOn{},
-		granted: map[uint64]int{}, completed: map[uint64]bool{}}
+	h := &history{w: w, ordered: map[uint64]attemptOn{}, granted: map[uint64]int{}, completed: map[uint64]bool{}}
+	h.forgetStored()
+	return h
+}
+
+// forgetStored begins anew with what is known of the state service.
+func (h *history) forgetStored() {
+	h.recorded, h.rostered, h.progress = newNamed[attemptOn](), newNamed[string](), map[string]leader.ProgRecord{}
+}
+
+// named counts in how many stored values something is named.
+type named[T comparable] struct {
+	byKey map[string][]T
+	times map[T]int
+}
+
+func newNamed[T comparable]() named[T] {
+	return named[T]{byKey: map[string][]T{}, times: map[T]int{}}
+}
+
+// put takes in what the value of a key names now.
+func (n *named[T]) put(key string, now []T) {
+	for _, v := range n.byKey[key] {
+		n.times[v]--
+	}
+	for _, v := range now {
+		n.times[v]++
+	}
+	n.byKey[key] = now
 }
 
 // sync takes in what the state service has stored since.
 func (h *history) sync() {
 	if !h.w.store.Known(h.revision) {
 		items, revision := h.w.store.List("")
-		*h = history{w: h.w, revision: revision, pages: map[string][]attemptOn{}, recorded: map[attemptOn]int{}, rosters: map[string][]string{},
-			rostered: map[string]int{}, progress: map[string]leader.ProgRecord{}, ordered: h.ordered, granted: h.granted,
-			completed: h.completed, restarted: h.restarted}
+		h.revision = revision
+		h.forgetStored()
 		for _, it := range items {
 			h.stored(it.Key, it.Value)
 		}
@@ -79,45 +102,29 @@
 }
 
 func (h *history) storedPage(key string, value []byte) {
-	for _, a := range h.pages[key] {
-		h.recorded[a]--
-	}
-	delete(h.pages, key)
-	if value == nil {
-		return
-	}
-	pages, err := block.Pages([]wire.Item{{Key: key, Value: value}})
-	must(err)
-	page := pages[key]
-	var named []attemptOn
-	for i := range page.Groups {
-		group := &page.Groups[i]
-		records, err := page.Records(group)
+	var attempts []attemptOn
+	if value != nil {
+		pages, err := block.Pages([]wire.Item{{Key: key, Value: value}})
 		must(err)
-		for _, r := range records {
-			named = append(named, attemptOn{block.TaskName(peer.Task{Job: group.Job, Index: r.Index}), r.Attempt, r.Machine})
+		page := pages[key]
+		for i := range page.Groups {
+			group := &page.Groups[i]
+			records, err := page.Records(group)
+			must(err)
+			for _, r := range records {
+				attempts = append(attempts, attemptOn{block.TaskName(peer.Task{Job: group.Job, Index: r.Index}), r.Attempt, r.Machine})
+			}
 		}
 	}
-	for _, a := range named {
-		h.recorded[a]++
-	}
-	h.pages[key] = named
+	h.recorded.put(key, attempts)
 }
 
 func (h *history) storedRoster(key string, value []byte) {
-	for _, name := range h.rosters[key] {
-		h.rostered[name]--
-	}
-	delete(h.rosters, key)
-	if value == nil {
-		return
-	}
 	var r leader.FleetRecord
-	must(json.Unmarshal(value, &r))
-	for _, name := range r.Machines {
-		h.rostered[name]++
+	if value != nil {
+		must(json.Unmarshal(value, &r))
 	}
-	h.rosters[key] = r.Machines
+	h.rostered.put(key, r.Machines)
 }
 
 // order judges a run order that a machine carries out for the first time: attempts never repeat.
@@ -141,10 +148,10 @@
 // durable roster, and its completion is not stored.
 func (h *history) start(machine string, t *standin.Task) {
 	h.sync()
-	if h.recorded[attemptOn{t.Task, t.Attempt, machine}] == 0 {
+	if h.recorded.times[attemptOn{t.Task, t.Attempt, machine}] == 0 {
 		h.w.breaks("unrecorded: %s runs as attempt %d on %s", t.Task, t.Attempt, machine)
 	}
-	if h.rostered[machine] == 0 {
+	if h.rostered.times[machine] == 0 {
 		h.w.breaks("unlisted: %s runs on %s, which is not in the roster", t.Task, machine)
 	}
 }
