--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -36,7 +36,7 @@
 	// Machines belong to blocks, so these come first.
 	for i := range n {
 		k := block.Key(i)
-		l.blocks = append(l.blocks, &leasedBlock{id: i, stamp: stamps[k], holder: holders[k].Holder, tasks: map[peer.Task]*held{}})
+		l.blocks = append(l.blocks, &leasedBlock{id: i, stamp: stamps[k], holder: holders[k].Holder, tasks: map[peer.Task]*grantedTask{}})
 	}
 	for _, it := range m.Items {
 		switch {
@@ -47,6 +47,8 @@
 		case strings.HasPrefix(it.Key, FleetPrefix):
 			if r, ok := decode[FleetRecord](l, it); ok {
 				l.loadRental(now, it, r)
+			} else {
+				l.unanswered[it.Key] = true // whatever machines it names may work
 			}
 		}
 	}
