--- a/internal/scenario/random_faults_test.go
+++ b/internal/scenario/random_faults_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -231,7 +232,7 @@
 	f := &cfg.Facts
 	f.InitialSize, f.Zones = 3, []string{"a", "b"}
 	for _, name := range []string{"red", "blue"} {
-		f.Teams = append(f.Teams, config.Team{Name: name, CPUs: 100, CPUsMax: 500})
+		f.Teams = append(f.Teams, config.Team{Name: name, CPUs: 100, CPUsMax: max(500, float64(machines*4))})
 	}
 	f.Workers.ReportS, f.Workers.LeaseS, f.Workers.CancelS = 3, 17, 40
 	f.State.RPS, f.State.WriteRPS, f.State.ValueKB, f.State.TxnOps = 200, 40, 4, 8
@@ -255,17 +256,31 @@
 // Whatever troubles overlap, no rule of the protocol breaks, and once they are over all that was
 // accepted runs to its end. A world that breaks one is made smaller until a few faults are left.
 func TestRandomFaults(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		machines := rapid.IntRange(30, 150).Draw(t, "machines")
-		faults := rapid.SliceOfN(rapid.Custom(drawFault), 1, 14).Draw(t, "faults")
-		seed := rapid.Uint64Range(1, 1000).Draw(t, "seed")
-		w := randomWorld(seed, machines)
-		defer w.stop()
-		w.playFaults(faults, machines)
-		if len(w.broken) > 0 {
-			t.Fatalf("%s", strings.Join(w.broken[:min(len(w.broken), 5)], "\n"))
-		}
-	})
+	rapid.Check(t, func(t *rapid.T) { tryFaults(t, 30, 150) })
+}
+
+// The same with hundreds of machines and thousands of tasks, in fewer worlds.
+func TestRandomFaultsAtSize(t *testing.T) {
+	checks := flag.Lookup("rapid.checks").Value
+	all := checks.String()
+	defer func() { must(checks.Set(all)) }()
+	n, err := strconv.Atoi(all)
+	must(err)
+	must(checks.Set(strconv.Itoa(max(n/8, 1))))
+	rapid.Check(t, func(t *rapid.T) { tryFaults(t, 250, 450) })
+}
+
+// tryFaults draws a cluster and its faults, and plays them.
+func tryFaults(t *rapid.T, least, most int) {
+	machines := rapid.IntRange(least, most).Draw(t, "machines")
+	faults := rapid.SliceOfN(rapid.Custom(drawFault), 1, 14).Draw(t, "faults")
+	seed := rapid.Uint64Range(1, 1000).Draw(t, "seed")
+	w := randomWorld(seed, machines)
+	defer w.stop()
+	w.playFaults(faults, machines)
+	if len(w.broken) > 0 {
+		t.Fatalf("%s", strings.Join(w.broken[:min(len(w.broken), 5)], "\n"))
+	}
 }
 
 // Worlds that the long search has found, with what it showed.
