--- a/internal/block/holder_test.go
+++ b/internal/block/holder_test.go
@@ -61,6 +61,10 @@
 	return Answer{}
 }
 
+func exitedAs(attempt uint64, cause string) wire.TaskReport {
+	return wire.TaskReport{Task: TaskName(task), Attempt: attempt, State: wire.Exited, Cause: cause}
+}
+
 func running(attempt uint64) wire.TaskReport {
 	return wire.TaskReport{Task: TaskName(task), Attempt: attempt, State: wire.Running}
 }
@@ -601,18 +605,29 @@
 	}
 }
 
-// started offers a task to a holder, confirms its start record, and gives the effects of that.
-func started(t *testing.T, h *Holder, at clock.Micros) []any {
-	t.Helper()
+// offerOne offers one task to a holder and gives the effects.
+func offerOne(h *Holder, at clock.Micros) []any {
 	offer := peer.Offer{Job: wire.Job{Ref: "j-000009", Team: "red", Tasks: 1, CPUs: 1, MemoryGB: 1, Spot: true}, Indexes: []int{0}}
-	fx := h.Step(at, &peer.Down{Epoch: 9, Orders: []peer.BlockOrders{{Block: 0, Token: 50, Seq: 1, Offers: []peer.Offer{offer}}}})
+	return h.Step(at, &peer.Down{Epoch: 9, Orders: []peer.BlockOrders{{Block: 0, Token: 50, Seq: 1, Offers: []peer.Offer{offer}}}})
+}
+
+// recordOf is the write of start records among the effects.
+func recordOf(t *testing.T, fx []any) Record {
+	t.Helper()
 	for _, e := range fx {
 		if r, ok := e.(Record); ok {
-			return h.Step(at, r.Settled(store.Outcome{OK: true, Revision: 8}))
+			return r
 		}
 	}
 	t.Fatal("no start record")
-	return nil
+	return Record{}
+}
+
+// started offers a task to a holder, confirms its start record, and gives the effects of that.
+func started(t *testing.T, h *Holder, at clock.Micros) []any {
+	t.Helper()
+	record := recordOf(t, offerOne(h, at))
+	return h.Step(at, record.Settled(store.Outcome{OK: true, Revision: 8}))
 }
 
 func directCommands(fx []any) (n int) {
@@ -689,13 +704,11 @@
 // run yet: a replica's task would be started once more beside it.
 func TestCompletionBesideAnotherAttemptSaysSo(t *testing.T) {
 	h := holding(t)
-	done := wire.TaskReport{Task: TaskName(task), Attempt: 1, State: wire.Exited, Cause: wire.CauseDone}
-	ev := eventsOf(h.Step(later(1), beat("m1", 1, 50, done)))
+	ev := eventsOf(h.Step(later(1), beat("m1", 1, 50, exitedAs(1, wire.CauseDone))))
 	if !slices.Equal(ev, []string{peer.Remains, peer.Done}) {
 		t.Errorf("events %v when one of two attempts completed", ev)
 	}
-	done.Attempt = 2
-	ev = eventsOf(h.Step(later(2), beat("m2", 1, 50, done)))
+	ev = eventsOf(h.Step(later(2), beat("m2", 1, 50, exitedAs(2, wire.CauseDone))))
 	if !slices.Equal(ev, []string{peer.Done}) {
 		t.Errorf("events %v when the last attempt completed", ev)
 	}
@@ -778,16 +791,13 @@
 
 // A report that contradicts itself proves no end: the attempt counts as running, which is logged once.
 func TestContradictoryReportsProveNothing(t *testing.T) {
-	exit := func(attempt uint64, cause string) wire.TaskReport {
-		return wire.TaskReport{Task: TaskName(task), Attempt: attempt, State: wire.Exited, Cause: cause}
-	}
-	other := exit(2, wire.CauseDone)
+	other := exitedAs(2, wire.CauseDone)
 	other.Task = "j-000009/1"
 	for name, tasks := range map[string][]wire.TaskReport{
-		"running and done":          {running(2), exit(2, wire.CauseDone)},
-		"done and running":          {exit(2, wire.CauseDone), running(2)},
+		"running and done":          {running(2), exitedAs(2, wire.CauseDone)},
+		"done and running":          {exitedAs(2, wire.CauseDone), running(2)},
 		"the attempt of another":    {other},
-		"busy with another attempt": {exit(2, wire.CauseBusy), running(77)},
+		"busy with another attempt": {exitedAs(2, wire.CauseBusy), running(77)},
 	} {
 		h := holding(t)
 		fx := append(h.Step(later(1), beat("m2", 1, 50, tasks...)), h.Step(later(2), beat("m2", 2, 50, tasks...))...)
@@ -802,7 +812,7 @@
 			t.Errorf("%s: events %v, logged %d times", name, ev, logged)
 		}
 		// Without the contradiction the end counts.
-		if ev := eventsOf(h.Step(later(3), beat("m2", 3, 50, exit(2, wire.CauseDone)))); !slices.Contains(ev, peer.Done) {
+		if ev := eventsOf(h.Step(later(3), beat("m2", 3, 50, exitedAs(2, wire.CauseDone)))); !slices.Contains(ev, peer.Done) {
 			t.Errorf("%s: events %v after a report that does not contradict itself", name, ev)
 		}
 	}
--- a/internal/block/proofs_test.go
+++ b/internal/block/proofs_test.go
@@ -10,10 +10,6 @@
 	"swiftledge/wire"
 )
 
-func exitedAs(attempt uint64, cause string) wire.TaskReport {
-	return wire.TaskReport{Task: TaskName(task), Attempt: attempt, State: wire.Exited, Cause: cause}
-}
-
 // An end is told once, however often the worker lists it: told again, it would be taken for the end of
 // the attempt that the task has then.
 func TestAnEndIsToldOnce(t *testing.T) {
--- a/internal/block/record_test.go
+++ b/internal/block/record_test.go
@@ -82,13 +82,7 @@
 		h.Step(now, beat("m1", 1, 50))
 		h.Step(now, beat("m2", 1, 50, running(2)))
 		at := later(1)
-		offer := peer.Offer{Job: wire.Job{Ref: "j-000009", Team: "red", Tasks: 1, CPUs: 1, MemoryGB: 1, Spot: true}, Indexes: []int{0}}
-		var record Record
-		for _, e := range h.Step(at, orders(peer.BlockOrders{Seq: 1, Offers: []peer.Offer{offer}})) {
-			if r, ok := e.(Record); ok {
-				record = r
-			}
-		}
+		record := recordOf(t, offerOne(h, at))
 		var before []any
 		for _, msg := range c.mean {
 			before = append(before, h.Step(at, msg)...)
@@ -120,8 +114,7 @@
 func TestLeaseEndLeavesWhatIsBeingRecorded(t *testing.T) {
 	h := holding(t)
 	h.Step(now, beat("m1", 1, 50))
-	offer := peer.Offer{Job: wire.Job{Ref: "j-000009", Team: "red", Tasks: 1, CPUs: 1, MemoryGB: 1, Spot: true}, Indexes: []int{0}}
-	h.Step(later(1), &peer.Down{Epoch: 9, Orders: []peer.BlockOrders{{Token: 50, Seq: 1, Offers: []peer.Offer{offer}}}})
+	offerOne(h, later(1))
 	m := h.blocks[0].machines["m1"]
 	h.tickMachine(h.leaseEnd(h.blocks[0], m)+1, h.blocks[0], m)
 	if !m.lost || len(h.blocks[0].byTask[peer.Task{Job: "j-000009"}]) != 1 {
@@ -129,7 +122,7 @@
 	}
 	h = holding(t)
 	h.Step(now, beat("m1", 1, 50))
-	h.Step(later(1), &peer.Down{Epoch: 9, Orders: []peer.BlockOrders{{Token: 50, Seq: 1, Offers: []peer.Offer{offer}}}})
+	offerOne(h, later(1))
 	h.Step(later(1), &peer.Down{Epoch: 9, Orders: []peer.BlockOrders{{Token: 50, Gone: []string{"m1"}}}})
 	if len(h.blocks[0].byTask[peer.Task{Job: "j-000009"}]) != 1 {
 		t.Error("given back while its start is being recorded")
@@ -141,15 +134,9 @@
 func TestNoOrderForAMachineWhoseLeaseEnded(t *testing.T) {
 	h := holding(t)
 	h.Step(now, beat("m1", 1, 50))
-	offer := peer.Offer{Job: wire.Job{Ref: "j-000009", Team: "red", Tasks: 1, CPUs: 1, MemoryGB: 1, Spot: true}, Indexes: []int{0}}
-	fx := h.Step(later(1), &peer.Down{Epoch: 9, Orders: []peer.BlockOrders{{Token: 50, Seq: 1, Offers: []peer.Offer{offer}}}})
-	for _, e := range fx {
-		if r, ok := e.(Record); ok {
-			m := h.blocks[0].machines["m1"]
-			m.lost = true
-			fx = h.Step(later(2), r.Settled(store.Outcome{OK: true, Revision: 8}))
-		}
-	}
+	record := recordOf(t, offerOne(h, later(1)))
+	h.blocks[0].machines["m1"].lost = true
+	fx := h.Step(later(2), record.Settled(store.Outcome{OK: true, Revision: 8}))
 	fx = append(fx, h.Step(later(3), Tick{})...)
 	if runOrders(fx) != 0 || given(fx) != 1 {
 		t.Errorf("%d run orders, given back %d times", runOrders(fx), given(fx))
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -24,14 +24,20 @@
 	return wire.Item{Key: key, Value: raw, Version: version}
 }
 
-func offers(fx []any) (n int) {
+// toldOf gathers the orders that the effects send to holders.
+func toldOf(fx []any) (orders []peer.BlockOrders) {
 	for _, e := range fx {
 		if x, ok := e.(Tell); ok {
-			for _, o := range x.Down.Orders {
-				for _, of := range o.Offers {
-					n += len(of.Indexes)
-				}
-			}
+			orders = append(orders, x.Down.Orders...)
+		}
+	}
+	return orders
+}
+
+func offers(fx []any) (n int) {
+	for _, o := range toldOf(fx) {
+		for _, of := range o.Offers {
+			n += len(of.Indexes)
 		}
 	}
 	return n
@@ -237,13 +243,9 @@
 	fx := l.Step(began+clock.Second, Said{Node: "n0", Link: "link", Up: &peer.Up{Epoch: 5, Updates: []peer.BlockUpdate{{Block: b.id, Token: b.token,
 		Events: []peer.Event{{Task: one, Kind: peer.Done, Machine: names[0]}}}}}})
 	stopped, stored := false, false
-	for _, e := range fx {
-		if x, ok := e.(Tell); ok {
-			for _, o := range x.Down.Orders {
-				stopped = stopped || len(o.Stop) == 1 && o.Stop[0].Task == one
-				stored = stored || len(o.Stored) == 1 && o.Stored[0] == one
-			}
-		}
+	for _, o := range toldOf(fx) {
+		stopped = stopped || len(o.Stop) == 1 && o.Stop[0].Task == one
+		stored = stored || len(o.Stored) == 1 && o.Stored[0] == one
 	}
 	if !stopped || !stored || j.nDone != 0 {
 		t.Errorf("told to keep it listed %v, that it is settled %v, %d tasks done", stopped, stored, j.nDone)
--- a/internal/leader/proofs_test.go
+++ b/internal/leader/proofs_test.go
@@ -21,7 +21,7 @@
 	return map[string]peer.RecordPage{"run/" + machine: {Machines: []string{machine}, Groups: []peer.RecordGroup{g}}}
 }
 
-// events are said of a block under a token.
+// saying is what a holder says of a block under a token.
 func saying(b *leasedBlock, token uint64, events ...peer.Event) Said {
 	return Said{Node: "n0", Link: "link", Up: &peer.Up{Epoch: 5, Updates: []peer.BlockUpdate{{Block: b.id, Token: token, Events: events}}}}
 }
@@ -154,12 +154,8 @@
 	l := granting(t, recordsOf(names[0], 0, 1))
 	b := l.blocks[block.Of(names[0], 2)]
 	acknowledged := func(fx []any) (n int) {
-		for _, e := range fx {
-			if x, ok := e.(Tell); ok {
-				for _, o := range x.Down.Orders {
-					n += len(o.Stored)
-				}
-			}
+		for _, o := range toldOf(fx) {
+			n += len(o.Stored)
 		}
 		return n
 	}
--- a/internal/leader/roster_test.go
+++ b/internal/leader/roster_test.go
@@ -73,16 +73,16 @@
 
 // orderedOf gathers what the effects tell the holder of a block.
 func orderedOf(fx []any, b int) (drained, gone, roster []string) {
+	for _, o := range toldOf(fx) {
+		if o.Block == b {
+			drained, gone = append(drained, o.Drain...), append(gone, o.Gone...)
+		}
+	}
 	for _, e := range fx {
 		x, ok := e.(Tell)
 		if !ok {
 			continue
 		}
-		for _, o := range x.Down.Orders {
-			if o.Block == b {
-				drained, gone = append(drained, o.Drain...), append(gone, o.Gone...)
-			}
-		}
 		for _, g := range x.Down.Grants {
 			for _, m := range g.Machines {
 				if g.Block == b {
@@ -107,9 +107,8 @@
 		asked := wire.Rental{Request: "r-3-1", Type: "small", Zone: "a", Spot: true, Count: 1}
 		key := FleetPrefix + asked.Request
 		l.loadRental(began, item(t, key, 3, FleetRecord{Rental: asked}), FleetRecord{Rental: asked})
-		page := peer.RecordPage{Machines: []string{unknown}, Groups: []peer.RecordGroup{{Job: spec.Ref, Team: "red", CPUs: 1, Starts: []int{0, 1, 0}}}}
 		b := block.Of(unknown, 2)
-		fx := l.Step(began, Records{Epoch: 5, Block: b, Token: l.blocks[b].token, Pages: map[string]peer.RecordPage{"p": page}})
+		fx := l.Step(began, Records{Epoch: 5, Block: b, Token: l.blocks[b].token, Pages: recordsOf(unknown, 0)})
 		drained, _, roster := orderedOf(fx, b)
 		if !slices.Contains(roster, unknown) || !slices.Contains(drained, unknown) {
 			t.Errorf("granted %v, drained %v: %s is missing", roster, drained, unknown)
@@ -149,9 +148,8 @@
 // and its tasks are not waited for.
 func TestMachinesThatLeftTheRosterAreNotGranted(t *testing.T) {
 	l := leading(t)
-	page := peer.RecordPage{Machines: []string{"host-000009"}, Groups: []peer.RecordGroup{{Job: spec.Ref, Team: "red", CPUs: 1, Starts: []int{0, 1, 0}}}}
 	b := block.Of("host-000009", 2)
-	fx := l.Step(began, Records{Epoch: 5, Block: b, Token: l.blocks[b].token, Pages: map[string]peer.RecordPage{"p": page}})
+	fx := l.Step(began, Records{Epoch: 5, Block: b, Token: l.blocks[b].token, Pages: recordsOf("host-000009", 0)})
 	if _, _, roster := orderedOf(fx, b); slices.Contains(roster, "host-000009") {
 		t.Errorf("granted %v", roster)
 	}
--- a/internal/leader/service_test.go
+++ b/internal/leader/service_test.go
@@ -27,12 +27,8 @@
 	}
 	fx := say(peer.Remains, peer.Done)
 	stops := 0
-	for _, e := range fx {
-		if x, ok := e.(Tell); ok {
-			for _, o := range x.Down.Orders {
-				stops += len(o.Stop)
-			}
-		}
+	for _, o := range toldOf(fx) {
+		stops += len(o.Stop)
 	}
 	if n := offers(fx); n != 0 || stops != 0 || b.tasks[one] == nil {
 		t.Errorf("%d tasks offered, %d stopped, counted %v while another attempt may run", n, stops, b.tasks[one] != nil)
