A team limit of 0 is none: guest teams' jobs are accepted and run

Change: config.Team.CPULimit and GPULimit are infinite for 0; the leader and the submissions use them.

--- a/internal/api/jobs.go
+++ b/internal/api/jobs.go
@@ -162,11 +162,11 @@
 	if !ok {
 		return "unknown team " + j.Team
 	}
-	if j.CPUs > team.CPUsMax || j.GPUs > team.GPUsMax {
+	if j.CPUs > team.CPULimit() || j.GPUs > team.GPULimit() {
 		return "one task needs more than the team's limit"
 	}
 	// A service runs with all its replicas at once, or its users miss some of it.
-	if n := float64(j.Tasks); j.Standing() && (n*j.CPUs > team.CPUsMax+1e-9 || n*j.GPUs > team.GPUsMax+1e-9) {
+	if n := float64(j.Tasks); j.Standing() && (n*j.CPUs > team.CPULimit()+1e-9 || n*j.GPUs > team.GPULimit()+1e-9) {
 		return "all its tasks together need more than the team's limit"
 	}
 	for _, t := range types {
--- /dev/null
+++ b/internal/api/limits_test.go
@@ -0,0 +1,42 @@
+package api
+
+import (
+	"encoding/json"
+	"testing"
+
+	"swiftledge/internal/standin"
+	"swiftledge/wire"
+)
+
+// Which submissions can never run: a limit of 0 is none, a limit that is there binds, and what fits no
+// machine is refused whatever the team may use.
+func TestWhatCanNeverRun(t *testing.T) {
+	service := service(t, &between{Store: standin.NewStore(4, 8), hook: map[string]func(){}})
+	for _, c := range []struct {
+		name string
+		job  wire.Job
+		code int
+	}{
+		{"within the limit", wire.Job{Ref: "j-000001", Team: "red", CPUs: 4}, 201},
+		{"without a limit", wire.Job{Ref: "j-000002", Team: "guest", CPUs: 4}, 201},
+		{"a large array without a limit", wire.Job{Ref: "j-000003", Team: "guest", CPUs: 4, Tasks: 20000}, 201},
+		{"replicas beyond the limit", wire.Job{Ref: "j-000004", Team: "red", CPUs: 4, Tasks: 3, Shape: wire.Service}, 422},
+		{"replicas without a limit", wire.Job{Ref: "j-000005", Team: "guest", CPUs: 4, Tasks: 3, Shape: wire.Service}, 201},
+		{"a task that fits no machine", wire.Job{Ref: "j-000006", Team: "guest", CPUs: 5}, 422},
+		{"accelerators that no machine has", wire.Job{Ref: "j-000007", Team: "guest", CPUs: 1, GPUs: 1}, 422},
+		{"an unknown team", wire.Job{Ref: "j-000008", Team: "nobody", CPUs: 1}, 422},
+	} {
+		c.job.Class, c.job.Priority, c.job.MemoryGB, c.job.Image, c.job.EstimateS = "l", wire.Standard, 1, "img", 10
+		c.job.Tasks = max(c.job.Tasks, 1)
+		if c.job.Shape == "" {
+			c.job.Shape = wire.Batch
+		}
+		body, err := json.Marshal(c.job)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r := service.Submit(body); r.Code != c.code {
+			t.Errorf("%s: %d %s, want %d", c.name, r.Code, r.Why, c.code)
+		}
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"os"
 	"reflect"
 	"strings"
@@ -22,7 +23,7 @@
 	Address string `json:"address" validate:"required,hostname_port"`
 }
 
-// Team has a guarantee and a limit.
+// Team has a guarantee and a limit. A guarantee of 0 is none, and so is a limit of 0: see CPULimit.
 type Team struct {
 	Name    string  `json:"name" validate:"required"`
 	CPUs    float64 `json:"cpus" validate:"min=0"`
@@ -31,6 +32,20 @@
 	GPUsMax float64 `json:"gpus_max" validate:"min=0"`
 }
 
+// CPULimit is the most processors that the team's tasks may use at any moment; infinite without a limit.
+func (t Team) CPULimit() float64 { return limit(t.CPUsMax) }
+
+// GPULimit is the same for accelerators.
+func (t Team) GPULimit() float64 { return limit(t.GPUsMax) }
+
+// limit reads a limit as the platform writes it: 0 means that there is none.
+func limit(most float64) float64 {
+	if most == 0 {
+		return math.Inf(1)
+	}
+	return most
+}
+
 // Objective restates one aim of the users.
 type Objective struct {
 	Kind    string  `json:"kind"`
--- a/internal/leader/evict.go
+++ b/internal/leader/evict.go
@@ -127,7 +127,7 @@
 		}
 		// At its limit a team makes room for itself.
 		u := use{t.u.cpus - leaving[s.Team].cpus, t.u.gpus - leaving[s.Team].gpus}
-		own := !u.takes(s, t.team.CPUsMax, t.team.GPUsMax)
+		own := !u.takes(s, t.team.CPULimit(), t.team.GPULimit())
 		var best *space
 		var leave []int
 		cost := 0.0
--- a/internal/leader/needs.go
+++ b/internal/leader/needs.go
@@ -53,11 +53,11 @@
 				continue
 			}
 			if _, ok := room[s.Team]; !ok {
-				room[s.Team] = l.teams[s.Team].CPUsMax
+				room[s.Team] = l.teams[s.Team].CPULimit()
 			}
 			most := left
 			if s.CPUs > 0 {
-				most = min(most, int(room[s.Team]/s.CPUs+1e-9))
+				most = int(min(float64(most), room[s.Team]/s.CPUs+1e-9))
 			}
 			room[s.Team] -= float64(most) * s.CPUs
 			if standing {
--- a/internal/leader/queue.go
+++ b/internal/leader/queue.go
@@ -135,7 +135,7 @@
 	// important jobs, which would take every bit of room that comes free.
 	for t.pick != nil && !t.takes(&t.pick.j.record.Spec, floor) {
 		t.pick.exhausted = true
-		full := !t.u.takes(&t.pick.j.record.Spec, t.team.CPUsMax, t.team.GPUsMax)
+		full := !t.u.takes(&t.pick.j.record.Spec, t.team.CPULimit(), t.team.GPULimit())
 		for _, o := range t.q {
 			o.exhausted = o.exhausted || full && o.order.rank > t.pick.order.rank
 		}
@@ -155,11 +155,11 @@
 // takes says whether the team may run one more task of s: within its limit, and with the
 // least share left to its other jobs if s is a service, which never ends by itself.
 func (t *teamQueue) takes(s *wire.Job, floor float64) bool {
-	return t.mayStand(s, t.standing, floor) && t.u.takes(s, t.team.CPUsMax, t.team.GPUsMax)
+	return t.mayStand(s, t.standing, floor) && t.u.takes(s, t.team.CPULimit(), t.team.GPULimit())
 }
 
 func (t *teamQueue) mayStand(s *wire.Job, standing, floor float64) bool {
-	return !s.Standing() || !t.mixed || standing+s.CPUs <= t.team.CPUsMax*(1-floor)+1e-9
+	return !s.Standing() || !t.mixed || standing+s.CPUs <= t.team.CPULimit()*(1-floor)+1e-9
 }
 
 // queues sorts the jobs that wait by team.
@@ -188,7 +188,7 @@
 		switch {
 		case j.nWant == 0:
 			j.waits = 0
-		case j.waits == 0 || !t.u.takes(s, t.team.CPUsMax, t.team.GPUsMax):
+		case j.waits == 0 || !t.u.takes(s, t.team.CPULimit(), t.team.GPULimit()):
 			j.waits = now // for room, not for the team's limit
 		}
 		if j.nWant > 0 && now >= j.notBefore && !j.cancelled {
--- a/internal/leader/spread.go
+++ b/internal/leader/spread.go
@@ -239,7 +239,7 @@
 		team := l.teams[s.Team]
 		switch {
 		case j.nWant <= moving[ref] || j.cancelled || now < j.notBefore:
-		case l.use(s.Team).takes(s, team.CPUsMax, team.GPUsMax):
+		case l.use(s.Team).takes(s, team.CPULimit(), team.GPULimit()):
 			v.Waiting = true
 		default:
 			atLimit[s.Team] = true
--- a/internal/leader/status.go
+++ b/internal/leader/status.go
@@ -109,7 +109,7 @@
 			continue
 		}
 		t.Waiting += j.nWant
-		if team := l.teams[s.Team]; !l.use(s.Team).takes(s, team.CPUsMax, team.GPUsMax) {
+		if team := l.teams[s.Team]; !l.use(s.Team).takes(s, team.CPULimit(), team.GPULimit()) {
 			t.AtLimit += j.nWant
 		}
 	}
@@ -150,7 +150,7 @@
 			standing += j.running
 		}
 		team := l.teams[j.record.Spec.Team]
-		if u := l.usage[team.Name]; u != nil && !u.takes(&j.record.Spec, team.CPUsMax, team.GPUsMax) {
+		if u := l.usage[team.Name]; u != nil && !u.takes(&j.record.Spec, team.CPULimit(), team.GPULimit()) {
 			blocked += j.nWant
 		}
 	}
@@ -169,7 +169,7 @@
 	used := 0.0
 	for name, u := range l.usage {
 		used += u.cpus
-		if u.cpus > l.teams[name].CPUsMax-1 {
+		if u.cpus > l.teams[name].CPULimit()-1 {
 			full++
 		}
 	}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -66,6 +66,9 @@
 	for _, name := range []string{"red", "blue"} {
 		f.Teams = append(f.Teams, config.Team{Name: name, CPUs: 8, CPUsMax: float64(limit)})
 	}
+	if d.HasArg("guest") {
+		f.Teams = append(f.Teams, config.Team{Name: "guest"}) // no guarantee, no limit
+	}
 	f.Workers.ReportS, f.Workers.LeaseS, f.Workers.CancelS = 3, 20, 45
 	cfg.Tuning.Election.TTLS = float64(arg(t, d, "ttl", 3))
 	if d.HasArg("spread") {
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -152,7 +152,11 @@
 	}
 	t.heading("TEAM", "CPUS HELD", "LIMIT", "WAITING", "AT LIMIT")
 	for _, team := range s.Teams {
-		t.row(team.Team, team.CPUs, team.Limit, team.Waiting, team.AtLimit)
+		limit := any(team.Limit)
+		if team.Limit == 0 {
+			limit = "none"
+		}
+		t.row(team.Team, team.CPUs, limit, team.Waiting, team.AtLimit)
 	}
 	t.moves(s)
 }
