Preemption: guaranteed and high work stops long tasks on borrowed capacity

Change: waiting work of high priority, and of teams within their guarantee, stops tasks that have twice a boot time left and that another team runs beyond its guarantee, those that lose least since their last checkpoint first.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -134,7 +134,7 @@
 
 	// When each of what is done now and then was last done.
 	lastList, lastCounts, lastState, lastFleet, lastPlan clock.Micros
-	lastSchedule, lastEvict, progressAt, catalogAt       clock.Micros
+	lastSchedule, lastPreempt, progressAt, catalogAt     clock.Micros
 }
 
 type use struct{ cpus, gpus float64 }
--- /dev/null
+++ b/internal/leader/preempt.go
@@ -0,0 +1,263 @@
+package leader
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+
+	"swiftledge/internal/clock"
+	"swiftledge/internal/peer"
+	"swiftledge/wire"
+)
+
+const (
+	// preemptEvery is the pause between two looks for room to make.
+	preemptEvery = 300 * clock.Millisecond
+	// leavingFor is how long a task that was told to stop counts as room to come.
+	leavingFor = 3 * clock.Second
+	// mostPreempted bounds what one look stops.
+	mostPreempted = 64
+	// bootsWaited is how many usual boot times a task has to have left to run for it to be stopped for anything
+	// but production work: else the room, or a machine, comes about as soon without.
+	bootsWaited = 2
+	// placementS is about what it costs a stopped task, in seconds, to be placed again and to have its image.
+	placementS = 5
+)
+
+// victim is a task that may be stopped to make room.
+type victim struct {
+	task     peer.Task
+	held     *grantedTask
+	memory   float64
+	rank     int
+	endsSoon bool
+	cost     float64 // of the work that is lost; less for work of low priority
+}
+
+// space is what a machine has for waiting work, and could have.
+type space struct {
+	machine      *machine
+	cpus, memory float64 // free, and soon free
+	victims      []victim
+}
+
+// claim is why a job's next task may stop others (PROTOCOL, "Preemption").
+type claim struct {
+	team      string
+	rank      int
+	guarantee bool // the team must be given it
+	own       bool // the team is at its limit: only its own tasks make room
+}
+
+// preemption is one look for room to make.
+type preemption struct {
+	l       *Leader
+	now     clock.Micros
+	spaces  []*space
+	leaving uses
+	stopped int
+}
+
+// preempt makes room for work that waits and finds none, by stopping less important tasks, and tasks that
+// other teams run beyond their guarantees for a team that is within its own.
+func (l *Leader) preempt(now clock.Micros, teams []*teamQueue) {
+	if now-l.lastPreempt < preemptEvery {
+		return
+	}
+	var p *preemption
+	for _, t := range teams {
+		for _, j := range t.entitled {
+			if j.nWant == 0 {
+				continue
+			}
+			if p == nil {
+				l.lastPreempt = now
+				p = &preemption{l: l, now: now}
+				p.survey()
+			}
+			if p.makeRoom(t, j); p.stopped > mostPreempted {
+				return
+			}
+		}
+	}
+}
+
+// entitled says whether tasks of the job may ever stop others.
+func (l *Leader) entitled(t *teamQueue, j *job) bool {
+	return wire.Rank(j.record.Spec.Priority) <= wire.Rank(wire.High) || t.team.CPUs > 0
+}
+
+// uses is what teams' tasks will give back, less what is to come.
+type uses map[string]use
+
+func (u uses) add(team string, cpus, gpus float64) {
+	u[team] = use{u[team].cpus + cpus, u[team].gpus + gpus}
+}
+
+// survey finds the machines that could take waiting work, by name, and what each team's tasks give back that
+// were told to stop.
+func (p *preemption) survey() {
+	l, on := p.l, map[string]*space{}
+	p.leaving = uses{}
+	boots := map[*job]float64{}
+	for _, m := range l.machines {
+		if m.serves() {
+			on[m.name] = &space{machine: m, cpus: m.state.CPUs, memory: m.state.Memory}
+		}
+	}
+	for _, b := range l.blocks {
+		for t, h := range b.tasks {
+			leaves := h.stopped != "" && p.now-h.stoppedAt < leavingFor
+			if leaves {
+				p.leaving.add(h.team, h.cpus, h.gpus)
+			}
+			at, j := on[h.machine], l.jobs[t.Job]
+			if at == nil || j == nil {
+				continue
+			}
+			if leaves {
+				at.cpus += h.cpus
+				at.memory += j.record.Spec.MemoryGB
+			}
+			if _, ok := boots[j]; !ok {
+				boots[j] = l.bootTime(&j.record.Spec)
+			}
+			if v := l.victim(p.now, t, h, j, boots[j]); h.stopped == "" && v.rank > wire.Rank(wire.Production) {
+				at.victims = append(at.victims, v)
+			}
+		}
+	}
+	p.spaces = make([]*space, 0, len(on))
+	for _, name := range slices.Sorted(maps.Keys(on)) {
+		at := on[name]
+		slices.SortFunc(at.victims, func(a, b victim) int {
+			return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.task.Job, b.task.Job), cmp.Compare(a.task.Index, b.task.Index))
+		})
+		p.spaces = append(p.spaces, at)
+	}
+}
+
+// victim weighs a task that may be stopped. What it saved by itself at its last interval is not lost.
+func (l *Leader) victim(now clock.Micros, t peer.Task, h *grantedTask, j *job, boot float64) victim {
+	s := &j.record.Spec
+	rank, ran := wire.Rank(s.Priority), 0.0
+	if h.running {
+		ran = (now - h.since).Seconds()
+	}
+	lost := ran
+	if s.CheckpointS > 0 {
+		lost = math.Mod(ran, s.CheckpointS)
+	}
+	return victim{task: t, held: h, memory: s.MemoryGB, rank: rank, endsSoon: !s.Standing() && l.remaining(j)-ran < bootsWaited*boot,
+		cost: h.cpus * (lost + placementS) / float64(max(rank, 1))}
+}
+
+// makeRoom makes room for the waiting tasks of one job, as far as it may run.
+func (p *preemption) makeRoom(t *teamQueue, j *job) {
+	s := &j.record.Spec
+	zones := p.l.zones(j)
+	standing := t.standing
+	for n := j.nWant; n > 0; n-- {
+		if !t.mayStand(s, standing, p.l.cfg.Tuning.Queues.LeastShare) {
+			return
+		}
+		c, ok := p.claim(t, s)
+		if !ok {
+			return
+		}
+		best, leave := p.cheapest(j, zones, c)
+		if best == nil {
+			return
+		}
+		p.stop(best, leave)
+		best.cpus -= s.CPUs
+		best.memory -= s.MemoryGB
+		zones.add(best.machine.opt.Zone)
+		p.leaving.add(s.Team, -s.CPUs, -s.GPUs)
+		standing += s.CPUs
+	}
+}
+
+// claim says why one more task of the team may stop others, if it may.
+func (p *preemption) claim(t *teamQueue, s *wire.Job) (claim, bool) {
+	left := p.leaving[s.Team]
+	u := use{t.u.cpus - left.cpus, t.u.gpus - left.gpus}
+	c := claim{team: s.Team, rank: wire.Rank(s.Priority), guarantee: u.takes(s, t.team.CPUs, t.team.GPUs),
+		own: !u.takes(s, t.team.CPULimit(), t.team.GPULimit())}
+	return c, c.guarantee || c.rank <= wire.Rank(wire.High)
+}
+
+// mayStop says whether a task may be stopped for a claim. Production work stops whatever is less important;
+// anything else only what runs for long on borrowed capacity.
+func (p *preemption) mayStop(c claim, v *victim) bool {
+	switch {
+	case c.own && v.held.team != c.team:
+		return false
+	case c.rank == wire.Rank(wire.Production):
+		return c.rank < v.rank
+	case v.endsSoon || !p.borrowed(v.held):
+		return false
+	}
+	return c.rank < v.rank || c.guarantee && v.held.team != c.team
+}
+
+// borrowed says whether a task's team keeps its guarantee without it.
+func (p *preemption) borrowed(h *grantedTask) bool {
+	u, left, team := p.l.use(h.team), p.leaving[h.team], p.l.teams[h.team]
+	return u.cpus-left.cpus-h.cpus >= team.CPUs-1e-9
+}
+
+// cheapest finds the machine on which room for one more task of the job costs least, and which of its
+// victims have to leave.
+func (p *preemption) cheapest(j *job, zones zones, c claim) (best *space, leave []int) {
+	s := &j.record.Spec
+	least := 0.0
+	for _, at := range p.spaces {
+		m := at.machine
+		if !m.allowed(p.now, j) || !zones.allow(m.opt.Zone) || j.barred(p.now, m) || m.state.GPUs+1e-9 < s.GPUs {
+			continue
+		}
+		if who, cost, ok := p.makes(at, s, c); ok && (best == nil || cost < least) {
+			best, leave, least = at, who, cost
+		}
+	}
+	return best, leave
+}
+
+// makes says which victims must leave a machine for one more task to fit, and at what cost; of a team at its
+// limit as much as the task takes.
+func (p *preemption) makes(at *space, s *wire.Job, c claim) (who []int, cost float64, ok bool) {
+	cpus, memory, given := at.cpus, at.memory, 0.0
+	for i := 0; ; i++ {
+		if cpus+1e-9 >= s.CPUs && memory+1e-9 >= s.MemoryGB && (!c.own || given+1e-9 >= s.CPUs) {
+			return who, cost, true
+		}
+		if i == len(at.victims) {
+			return nil, 0, false
+		}
+		v := &at.victims[i]
+		if !p.mayStop(c, v) {
+			continue
+		}
+		cpus += v.held.cpus
+		memory += v.memory
+		given += v.held.cpus
+		cost += v.cost
+		who = append(who, i)
+	}
+}
+
+// stop has the holder end victims on a machine.
+func (p *preemption) stop(at *space, leave []int) {
+	for _, i := range slices.Backward(leave) {
+		v := at.victims[i]
+		at.victims = slices.Delete(at.victims, i, i+1)
+		at.cpus += v.held.cpus
+		at.memory += v.memory
+		p.leaving.add(v.held.team, v.held.cpus, v.held.gpus)
+		v.held.stopped, v.held.stoppedAt = "evicted", p.now
+		at.machine.block.orders.Stop = append(at.machine.block.orders.Stop, peer.StopTask{Task: v.task})
+		p.stopped++
+	}
+}
--- a/internal/leader/queue.go
+++ b/internal/leader/queue.go
@@ -80,7 +80,7 @@
 	// What services use, and whether the team has other jobs: neither may shut out the other.
 	standing float64
 	mixed    bool
-	urgent   []*job // of production priority, that wait
+	entitled []*job // that wait and may stop other tasks to get room
 	// Whose turn it is within the team, and the team's place among the others; they
 	// change only when the team is served.
 	pick  *queued
@@ -192,9 +192,6 @@
 			j.waits = now // for room, not for the team's limit
 		}
 		if j.nWant > 0 && now >= j.notBefore && !j.cancelled {
-			if wire.Rank(s.Priority) == 0 {
-				t.urgent = append(t.urgent, j)
-			}
 			t.q = append(t.q, &queued{j: j, order: l.order(age, j), waitedLong: age > old})
 		}
 	}
@@ -202,6 +199,11 @@
 	for _, name := range slices.Sorted(maps.Keys(byTeam)) {
 		if t := byTeam[name]; len(t.q) > 0 {
 			slices.SortStableFunc(t.q, func(a, b *queued) int { return a.order.compare(b.order) })
+			for _, q := range t.q {
+				if l.entitled(t, q.j) {
+					t.entitled = append(t.entitled, q.j)
+				}
+			}
 			out = append(out, t)
 		}
 	}
--- a/internal/leader/schedule.go
+++ b/internal/leader/schedule.go
@@ -41,7 +41,7 @@
 	if room := l.freeRoom(now); len(room.ms) > 0 {
 		l.offer(now, queues, room)
 	}
-	l.evict(now, queues)
+	l.preempt(now, queues)
 }
 
 // offer hands out tasks until nobody who is served next finds room.
