Mistaken jobs: evidence tells them from faulty machines, and they are probed

Change: internal/failures: suspect jobs, faulty tasks, faulty machines; a suspect job is probed by one task at pauses of 2 to 30 s, its unstarted tasks are stopped, and it neither makes the fleet rent nor stops other work.

--- /dev/null
+++ b/internal/leader/failures.go
@@ -0,0 +1,91 @@
+package leader
+
+import (
+	"slices"
+
+	"swiftledge/internal/block"
+	"swiftledge/internal/clock"
+	"swiftledge/internal/failures"
+	"swiftledge/internal/peer"
+)
+
+// errored takes in that a task failed: its job may be at fault for it, its machine, or the task alone. A failure of
+// a task that is in no grant is no evidence.
+func (l *Leader) errored(now clock.Micros, j *job, e peer.Event, h *grantedTask) {
+	if h == nil {
+		return
+	}
+	standing := j.record.Spec.Standing()
+	if standing && l.runsWell(now, j) {
+		j.failures.MarkSound()
+	}
+	f := failures.Failure{Index: e.Index, Machine: e.Machine}
+	if h.running {
+		f.Ran = now - h.since
+	}
+	if j.failures.Failed(now, l.machineFailures(e.Machine), f) {
+		l.suspect(j)
+	}
+	l.judgeMachine(now, e.Machine)
+	// A service's replicas have pauses of their own: see fell.
+	if pause := j.failures.TaskPause(e.Index); pause > 0 && !standing {
+		j.delay(e.Index, now+pause)
+	}
+}
+
+// completed takes in that a task completed: its job is sound, and what failed of it before counts against the
+// machines where it did.
+func (l *Leader) completed(now clock.Micros, j *job, e peer.Event) {
+	was := j.failures.Sound()
+	j.failures.Completed(e.Index, e.Machine, l.machineFailures(e.Machine))
+	if was {
+		return
+	}
+	for _, name := range j.failures.Machines() {
+		l.judgeMachine(now, name)
+	}
+}
+
+// machineFailures is the evidence about a machine; nil if it is not known any more.
+func (l *Leader) machineFailures(name string) *failures.Machine {
+	if m := l.machines[name]; m != nil {
+		return &m.failures
+	}
+	return nil
+}
+
+// judgeMachine drains a machine that is at fault for what failed on it.
+func (l *Leader) judgeMachine(now clock.Micros, name string) {
+	if m := l.machines[name]; m != nil && !m.drain && m.failures.Faulty() {
+		l.drain(now, m, "fails its tasks")
+	}
+}
+
+// suspect stops the tasks of a suspect job that have not begun to run: they would only fetch its image and fail.
+func (l *Leader) suspect(j *job) {
+	ref := j.record.Spec.Ref
+	l.info("job is suspect", "job", ref, "team", j.record.Spec.Team, "failed_on", j.failures.Machines(), "tasks_out", len(j.out))
+	for _, b := range l.blocks {
+		from := len(b.orders.Stop)
+		for t, h := range b.tasks {
+			if t.Job == ref && !h.running && !h.inherited && h.stopped == "" {
+				h.stopped = "its job is suspect"
+				b.orders.Stop = append(b.orders.Stop, peer.StopTask{Task: t})
+			}
+		}
+		slices.SortFunc(b.orders.Stop[from:], func(a, c peer.StopTask) int { return a.Index - c.Index })
+	}
+}
+
+// reconsider ends the suspicion of a job one of whose tasks has run for long.
+func (l *Leader) reconsider(now clock.Micros, j *job) {
+	if !j.failures.Suspect() {
+		return
+	}
+	l.eachHeld(j, func(t peer.Task, h *grantedTask) {
+		if h.running && j.failures.Survived(now-h.since) {
+			l.info("job is suspect no more", "job", t.Job, "task", block.TaskName(t), "ran_s", (now - h.since).Seconds())
+			l.stirred = true
+		}
+	})
+}
--- a/internal/leader/holders.go
+++ b/internal/leader/holders.go
@@ -121,7 +121,7 @@
 		j.giveBack(e.Index)
 	}
 	if e.Kind == peer.Errored && j != nil {
-		l.errored(now, j, e.Machine)
+		l.errored(now, j, e, h)
 	}
 }
 
@@ -149,21 +149,19 @@
 		}
 	}
 	if e.Kind == peer.Errored {
-		l.errored(now, j, e.Machine)
+		l.errored(now, j, e, h)
 	}
 }
 
 func (l *Leader) done(now clock.Micros, b *leasedBlock, j *job, e peer.Event) {
-	if m := l.machines[e.Machine]; m != nil {
-		m.errRun = 0
-		clear(m.errs)
+	if j != nil {
+		l.completed(now, j, e)
 	}
 	if j == nil || j.cancelled || j.stored(e.Index) {
 		b.orders.Stored = append(b.orders.Stored, e.Task)
 		return
 	}
 	b.unstored = append(b.unstored, e.Task)
-	j.okay = true
 	if j.markDone(e.Index) && e.Secs > 1 && j.record.Spec.EstimateS > 0 {
 		c := l.classes[j.record.Spec.Class]
 		if c == nil {
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"math/bits"
 	"slices"
 	"strings"
@@ -11,6 +10,7 @@
 
 	"swiftledge/internal/block"
 	"swiftledge/internal/clock"
+	"swiftledge/internal/failures"
 	"swiftledge/internal/peer"
 	"swiftledge/internal/store"
 	"swiftledge/wire"
@@ -43,13 +43,11 @@
 	head      int         // no task before it waits
 	out       map[int]int // tasks in blocks' grants, and in how many
 	cancelled bool
-	ending    bool                    // the write of its end is under way
-	okay      bool                    // one of its tasks has completed
-	errAt     map[string]clock.Micros // by machine: when one of its tasks last failed there
-	errs      int
-	notBefore clock.Micros
-	waits     clock.Micros     // since when its tasks wait for room and none was handed out; 0: none waits
-	replicas  map[int]*replica // of a service, those that ended and were to go on
+	ending    bool                 // the write of its end is under way
+	failures  *failures.Job        // which of its tasks failed where
+	delayed   map[int]clock.Micros // tasks that wait until then to be tried again
+	waits     clock.Micros         // since when its tasks wait for room and none was handed out; 0: none waits
+	replicas  map[int]*replica     // of a service, those that ended and were to go on
 }
 
 // replica is what is remembered of a service's task between its attempts.
@@ -57,13 +55,12 @@
 	ends  int          // how often it ended by itself soon after its start
 	since clock.Micros // when it was last seen to end; 0: it runs
 	cause string
-	until clock.Micros // it waits until then to be tried again
 }
 
 func (l *Leader) addJob(r JobRecord, stamp uint64) *job {
 	n := r.Spec.Tasks
 	s := &r.Spec
-	j := &job{shape: shape{s.CPUs, s.GPUs, s.MemoryGB, fmt.Sprint(s.Types), s.Zone, s.Spot}, record: r, stamp: stamp, out: map[int]int{}, errAt: map[string]clock.Micros{}, replicas: map[int]*replica{}, want: make([]uint64, (n+63)/64)}
+	j := &job{shape: shape{s.CPUs, s.GPUs, s.MemoryGB, fmt.Sprint(s.Types), s.Zone, s.Spot}, record: r, stamp: stamp, out: map[int]int{}, failures: &failures.Job{}, delayed: map[int]clock.Micros{}, replicas: map[int]*replica{}, want: make([]uint64, (n+63)/64)}
 	for left := n; left > 0; left -= ChunkTasks {
 		n := (min(left, ChunkTasks) + 7) / 8
 		j.chunks = append(j.chunks, chunk{done: make([]byte, n), saved: make([]byte, n)})
@@ -190,6 +187,7 @@
 func (l *Leader) cancel(now clock.Micros, j *job) {
 	ref := j.record.Spec.Ref
 	j.cancelled = true
+	j.failures.Withdraw()
 	l.jobOver(now, j, wire.Cancelled)
 	delete(l.jobs, ref)
 	delete(l.counts, ref)
@@ -288,11 +286,6 @@
 // steady is how long a replica runs before it is taken for sound.
 const steady = 10 * clock.Second
 
-// pauseAfter grows with how often something has failed, up to a minute.
-func pauseAfter(fails int) clock.Micros {
-	return clock.FromSeconds(math.Min(60, math.Pow(2, float64(min(fails, 6)))))
-}
-
 // fell notes that a replica has ended and is to run again elsewhere; one that keeps
 // ending by itself waits longer each time.
 func (l *Leader) fell(now clock.Micros, j *job, e peer.Event, h *grantedTask) {
@@ -320,8 +313,7 @@
 		r.ends = 0
 	}
 	if r.ends++; r.ends > 1 {
-		r.until = now + pauseAfter(r.ends-1)
-		j.setWaiting(e.Index, false)
+		j.delay(e.Index, now+failures.Pause(r.ends-1))
 	}
 }
 
@@ -344,19 +336,26 @@
 
 // barred says whether a service had better wait than try a machine again.
 func (j *job) barred(now clock.Micros, m *machine) bool {
-	at, ok := j.errAt[m.name]
-	return ok && j.record.Spec.Standing() && now-at < barredFor
+	at, failed := j.failures.FailedOn(m.name)
+	return failed && j.record.Spec.Standing() && now-at < barredFor
 }
 
-// retry lets replicas wait again whose pause is over.
+// delay has a task wait before it is tried again.
+func (j *job) delay(i int, until clock.Micros) {
+	j.delayed[i] = until
+	j.setWaiting(i, false)
+}
+
+// retry lets tasks wait for room again whose pause is over.
 func (l *Leader) retry(now clock.Micros, j *job) {
-	for i, r := range j.replicas {
-		if r.until > 0 && now >= r.until {
-			r.until = 0
-			if j.out[i] == 0 {
-				j.setWaiting(i, true)
-				l.urgent, l.stirred = true, true
-			}
+	for i, until := range j.delayed {
+		if now < until {
+			continue
+		}
+		delete(j.delayed, i)
+		if j.out[i] == 0 && !j.isDone(i) {
+			j.setWaiting(i, true)
+			l.urgent, l.stirred = true, true
 		}
 	}
 }
@@ -364,33 +363,10 @@
 // runsWell says whether a replica of a service has run for a while, so that one that
 // fails elsewhere is its machine's fault.
 func (l *Leader) runsWell(now clock.Micros, j *job) (well bool) {
-	l.eachHeld(j, func(h *grantedTask) { well = well || h.running && now-h.since > steady })
+	l.eachHeld(j, func(_ peer.Task, h *grantedTask) { well = well || h.running && now-h.since > steady })
 	return well
 }
 
-// errored tells faulty machines from jobs that fail everywhere.
-func (l *Leader) errored(now clock.Micros, j *job, name string) {
-	j.errs++
-	j.errAt[name] = now
-	standing := j.record.Spec.Standing()
-	j.okay = j.okay || standing && l.runsWell(now, j)
-	if m := l.machines[name]; m != nil {
-		m.errRun++
-		if m.errs == nil {
-			m.errs = map[string]int{}
-		}
-		m.errs[j.record.Spec.Ref]++
-		// Two jobs failed in a row here, or one that does well elsewhere.
-		if !m.drain && m.errRun >= 2 && (len(m.errs) >= 2 || j.okay) {
-			l.drain(now, m, "fails its tasks")
-		}
-	}
-	// A service's replicas wait one by one: see fell.
-	if !j.okay && !standing && len(j.errAt) >= 2 {
-		j.notBefore = now + pauseAfter(j.errs)
-	}
-}
-
 // remaining estimates a task's run time from its owner's word and its class's history.
 func (l *Leader) remaining(j *job) float64 {
 	est := j.record.Spec.EstimateS
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -11,6 +11,7 @@
 	"swiftledge/internal/block"
 	"swiftledge/internal/clock"
 	"swiftledge/internal/config"
+	"swiftledge/internal/failures"
 	"swiftledge/internal/fleet"
 	"swiftledge/internal/peer"
 	"swiftledge/internal/store"
@@ -50,8 +51,7 @@
 	idle     clock.Micros // since when it has no task
 	drain    bool
 	deleting bool
-	errs     map[string]int
-	errRun   int
+	failures failures.Machine
 	// Room that is left while offers are made; the holder's word in state is not touched.
 	cpus, gpus, mem float64
 }
@@ -337,6 +337,7 @@
 	for _, ref := range refs {
 		l.end(l.jobs[ref])
 		l.retry(now, l.jobs[ref])
+		l.reconsider(now, l.jobs[ref])
 	}
 	l.progress(now, refs)
 	l.moveTasks(now)
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -462,11 +462,11 @@
 	b := l.blocks[block.Of(names[0], 2)]
 	l.Step(began, Said{Node: "n0", Link: "link", Up: &peer.Up{Epoch: 5, Updates: []peer.BlockUpdate{{Block: b.id, Token: b.token,
 		Events: []peer.Event{{Task: peer.Task{Job: spec.Ref, Index: 0}, Kind: peer.Running, Machine: names[0]}}}}}})
-	l.errored(began+2*steady, j, names[1])
+	l.errored(began+2*steady, j, peer.Event{Task: peer.Task{Job: spec.Ref, Index: 1}, Machine: names[1]}, &grantedTask{})
 	if l.machines[names[1]].drain {
 		t.Error("drained after a single failure")
 	}
-	l.errored(began+2*steady, j, names[1])
+	l.errored(began+2*steady, j, peer.Event{Task: peer.Task{Job: spec.Ref, Index: 1}, Machine: names[1]}, &grantedTask{})
 	if !l.machines[names[1]].drain {
 		t.Error("not drained after two failures while another replica runs")
 	}
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -85,7 +85,7 @@
 		for i := range j.record.Spec.Tasks {
 			if j.isDone(i) {
 				j.nDone++
-				j.okay = true
+				j.failures.MarkSound()
 			}
 		}
 		j.fillWaiting()
--- a/internal/leader/needs.go
+++ b/internal/leader/needs.go
@@ -49,9 +49,12 @@
 			j := l.jobs[ref]
 			s := &j.record.Spec
 			left := s.Tasks - j.nDone
-			if s.Standing() != standing || left <= 0 || now < j.notBefore {
+			if s.Standing() != standing || left <= 0 || j.failures.Waits(now) {
 				continue
 			}
+			if j.failures.Suspect() {
+				left = min(left, len(j.out)+1) // a probe
+			}
 			if _, ok := room[s.Team]; !ok {
 				room[s.Team] = l.teams[s.Team].CPULimit()
 			}
--- a/internal/leader/preempt.go
+++ b/internal/leader/preempt.go
@@ -85,6 +85,9 @@
 
 // entitled says whether tasks of the job may ever stop others.
 func (l *Leader) entitled(t *teamQueue, j *job) bool {
+	if j.failures.Suspect() {
+		return false
+	}
 	return wire.Rank(j.record.Spec.Priority) <= wire.Rank(wire.High) || t.team.CPUs > 0
 }
 
--- a/internal/leader/queue.go
+++ b/internal/leader/queue.go
@@ -186,13 +186,13 @@
 			t.use[longWaiting] += cpus
 		}
 		switch {
-		case j.nWant == 0:
+		case j.nWant == 0 || j.failures.Waits(now):
 			j.waits = 0
 		case j.waits == 0 || !t.u.takes(s, t.team.CPULimit(), t.team.GPULimit()):
 			j.waits = now // for room, not for the team's limit
 		}
-		if j.nWant > 0 && now >= j.notBefore && !j.cancelled {
-			t.q = append(t.q, &queued{j: j, order: l.order(age, j), waitedLong: age > old})
+		if j.nWant > 0 && !j.failures.Waits(now) && !j.cancelled {
+			t.q = append(t.q, &queued{j: j, order: l.order(age, j), waitedLong: age > old && !j.failures.Suspect()})
 		}
 	}
 	var out []*teamQueue
--- a/internal/leader/room.go
+++ b/internal/leader/room.go
@@ -36,9 +36,9 @@
 	if on == nil {
 		on = map[string]int{}
 		if s.Standing() {
-			l.eachHeld(j, func(h *grantedTask) { on[h.machine] = sibling })
+			l.eachHeld(j, func(_ peer.Task, h *grantedTask) { on[h.machine] = sibling })
 		}
-		for name := range j.errAt {
+		for _, name := range j.failures.Machines() {
 			on[name] = failed
 		}
 		r.apart[s.Ref] = on
@@ -136,7 +136,7 @@
 	s := &j.record.Spec
 	for i := r.passed[k]; i < len(list); i++ {
 		if m := list[i]; m.holds(s) && m.allowed(r.now, j) {
-			if _, ok := j.errAt[m.name]; !ok {
+			if _, failed := j.failures.FailedOn(m.name); !failed {
 				return m
 			}
 		} else if i == r.passed[k] {
@@ -167,7 +167,7 @@
 	s := &j.record.Spec
 	least := 0.0
 	for _, m := range r.ms {
-		if _, ok := j.errAt[m.name]; ok || m.reserve() > 0 || !m.holds(s) || !m.allowed(r.now, j) {
+		if _, failed := j.failures.FailedOn(m.name); failed || m.reserve() > 0 || !m.holds(s) || !m.allowed(r.now, j) {
 			continue
 		}
 		if load := m.loadWith(s); best == nil || load < least {
@@ -191,7 +191,7 @@
 	for i := over.before; i < len(list); i++ {
 		m := list[i]
 		if m.holds(s) && m.allowed(r.now, j) && r.even.within(m, s) {
-			if _, ok := j.errAt[m.name]; !ok {
+			if _, failed := j.failures.FailedOn(m.name); !failed {
 				r.beyond[k] = over
 				return m
 			}
@@ -235,7 +235,7 @@
 	}
 	// Better where it failed before than nowhere.
 	for _, m := range room.ms {
-		if _, ok := j.errAt[m.name]; ok && m.holds(s) && m.allowed(room.now, j) {
+		if _, failed := j.failures.FailedOn(m.name); failed && m.holds(s) && m.allowed(room.now, j) {
 			return m, ""
 		}
 	}
@@ -290,16 +290,17 @@
 	if !z.job.OneZone && !z.job.Spread {
 		return z
 	}
-	l.eachHeld(j, func(h *grantedTask) { z.n[h.zone]++ })
+	l.eachHeld(j, func(_ peer.Task, h *grantedTask) { z.n[h.zone]++ })
 	return z
 }
 
 // eachHeld calls f for the job's tasks that are in grants.
-func (l *Leader) eachHeld(j *job, f func(*grantedTask)) {
+func (l *Leader) eachHeld(j *job, f func(peer.Task, *grantedTask)) {
 	for i := range j.out {
 		for _, b := range l.blocks {
-			if h := b.tasks[peer.Task{Job: j.record.Spec.Ref, Index: i}]; h != nil {
-				f(h)
+			t := peer.Task{Job: j.record.Spec.Ref, Index: i}
+			if h := b.tasks[t]; h != nil {
+				f(t, h)
 			}
 		}
 	}
--- a/internal/leader/schedule.go
+++ b/internal/leader/schedule.go
@@ -64,8 +64,7 @@
 		}
 		best.known = false
 		given := l.give(now, best, job.j, room, offers, n)
-		if given == 0 {
-			job.exhausted = true
+		if job.exhausted = given == 0 || job.j.failures.Suspect(); given == 0 {
 			continue
 		}
 		cpus := float64(given) * job.j.record.Spec.CPUs
@@ -102,6 +101,10 @@
 	if s.OneZone || s.Spread || s.Standing() {
 		n = 1 // each task changes where the next may be
 	}
+	if j.failures.Suspect() {
+		n = 1
+		j.failures.Probed(room.now)
+	}
 	if !j.begun() {
 		l.traceQueued(now, j)
 	}
--- a/internal/leader/spread.go
+++ b/internal/leader/spread.go
@@ -238,7 +238,7 @@
 		s := &j.record.Spec
 		team := l.teams[s.Team]
 		switch {
-		case j.nWant <= moving[ref] || j.cancelled || now < j.notBefore:
+		case j.nWant <= moving[ref] || j.cancelled || j.failures.Waits(now):
 		case l.use(s.Team).takes(s, team.CPULimit(), team.GPULimit()):
 			v.Waiting = true
 		default:
@@ -288,7 +288,7 @@
 		Gang: s.OneZone || s.Spread, Standing: s.Standing(), Stopping: h.stopped != "" || j.cancelled, AtLimit: atLimit,
 		Allows: func(m *balance.Machine) bool {
 			to := l.machines[m.Name]
-			_, failedThere := j.errAt[m.Name]
+			_, failedThere := j.failures.FailedOn(m.Name)
 			return !failedThere && to.allowed(now, j)
 		},
 	}
