Pauses: noticed, logged once, shown in status, and no silence counted from before their end

Cause: a controller that stood still and went on judged its workers and the other controllers by what it could not read meanwhile: it called itself blind and lost its blocks for 30 s, or dropped controllers; nobody was told of the pause. Change: internal/standstill; holder and leader count silence from the end of a pause; status lists pauses and suspect jobs.

--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -1,6 +1,8 @@
 package block
 
 import (
+	"fmt"
+	"maps"
 	"slices"
 
 	"swiftledge/internal/balance"
@@ -8,6 +10,7 @@
 	"swiftledge/internal/config"
 	"swiftledge/internal/peer"
 	"swiftledge/internal/placement"
+	"swiftledge/internal/standstill"
 	"swiftledge/wire"
 )
 
@@ -30,6 +33,7 @@
 	heard   clock.Micros // when any worker was last heard
 	ticked  clock.Micros // when the last Tick was handled
 	late    clock.Micros // when a Tick was last handled late
+	pauses  standstill.Watch
 	storeOK func() bool
 	fx      []any
 }
@@ -56,6 +60,9 @@
 // Step takes one message at a time.
 func (h *Holder) Step(now clock.Micros, msg any) []any {
 	h.fx = nil
+	if began, paused := h.pauses.Observe(now); paused {
+		h.paused(began, now)
+	}
 	switch m := msg.(type) {
 	case Linked:
 		if m.Epoch >= h.epoch {
@@ -86,6 +93,17 @@
 	return h.fx
 }
 
+// paused tells that this controller stood still, and which grants ran out meanwhile.
+func (h *Holder) paused(began, now clock.Micros) {
+	p := standstill.Pause{Began: began, Ended: now}
+	for _, id := range slices.Sorted(maps.Keys(h.blocks)) {
+		if e := h.blocks[id].expires; e > began && e <= now {
+			p.Expired = append(p.Expired, fmt.Sprintf("grant of block %d", id))
+		}
+	}
+	h.emit(Paused{p})
+}
+
 func (h *Holder) emit(e any) { h.fx = append(h.fx, e) }
 
 func (h *Holder) sendRenew(now clock.Micros) {
--- a/internal/block/messages.go
+++ b/internal/block/messages.go
@@ -12,6 +12,7 @@
 	"swiftledge/internal/balance"
 	"swiftledge/internal/clock"
 	"swiftledge/internal/peer"
+	"swiftledge/internal/standstill"
 	"swiftledge/internal/store"
 	"swiftledge/internal/trace"
 	"swiftledge/wire"
@@ -123,6 +124,8 @@
 	}
 	// Trace is a span to be written.
 	Trace struct{ Span trace.Span }
+	// Paused tells that the controller stood still.
+	Paused struct{ Pause standstill.Pause }
 	// Log is a line for the log.
 	Log struct {
 		Text string
--- /dev/null
+++ b/internal/block/pauses_test.go
@@ -0,0 +1,59 @@
+package block
+
+import (
+	"slices"
+	"testing"
+
+	"swiftledge/internal/clock"
+	"swiftledge/internal/placement"
+	"swiftledge/internal/standstill"
+	"swiftledge/wire"
+)
+
+// A controller that stood still has the reports of its workers in its queues yet: it neither calls itself blind nor
+// its machines silent for what it could not read, and tells which grants ran out.
+func TestSilenceIsCountedFromTheEndOfAPause(t *testing.T) {
+	h, b := pausedHolder(t)
+	began := clock.Minute
+	h.Step(began, Tick{})
+	thawed := began + 12*clock.Second
+	fx := h.Step(thawed, Tick{})
+	if h.blind(thawed) {
+		t.Error("calls itself blind for reports that it has not read yet")
+	}
+	for _, m := range b.order {
+		if m.silent {
+			t.Errorf("%s is silent", m.name)
+		}
+	}
+	at := slices.IndexFunc(fx, func(e any) bool { _, ok := e.(Paused); return ok })
+	if at < 0 {
+		t.Fatal("the pause was not noticed")
+	}
+	if p := fx[at].(Paused).Pause; p.Length() != 12*clock.Second || !slices.Equal(p.Expired, []string{"grant of block 0"}) {
+		t.Errorf("%+v", p)
+	}
+	silentFor := 3 * h.p.ReportTime
+	for at := thawed; at <= thawed+silentFor; at += standstill.Threshold / 4 {
+		h.Step(at, Tick{})
+	}
+	if !h.blind(thawed + silentFor) {
+		t.Error("silence after the pause does not count")
+	}
+}
+
+// pausedHolder is a holder of one block of a few machines, whose grant runs out soon after a minute.
+func pausedHolder(t *testing.T) (*Holder, *heldBlock) {
+	t.Helper()
+	h := New(Params{Node: "n0", GrantTime: 20 * clock.Second, LongestGrant: 20 * clock.Second, Lease: 20 * clock.Second,
+		ReportTime: 3 * clock.Second, ValueBytes: 3600, TxnOps: 8}, placement.Params{}, func() bool { return true })
+	b := &heldBlock{id: 0, token: 1, since: clock.Second, expires: clock.Minute + 5*clock.Second, machines: map[string]*machine{}}
+	h.blocks[0] = b
+	for _, name := range []string{"host-000001", "host-000002", "host-000003", "host-000004"} {
+		m := b.machine(name)
+		m.known, m.shown = true, true
+		m.heard, m.answered = clock.Minute, clock.Minute
+		h.noteReport(clock.Minute, b, m, &wire.Report{Machine: name, Session: 1, Seq: 1, Token: 1, Type: "small"})
+	}
+	return h, b
+}
--- a/internal/leader/assign.go
+++ b/internal/leader/assign.go
@@ -52,7 +52,7 @@
 		if n.slow {
 			limit = quietTimeSlow
 		}
-		if now-n.heard > limit {
+		if now-l.pauses.Awake(n.heard) > limit {
 			delete(l.nodes, n.name)
 		}
 	}
--- a/internal/leader/failures.go
+++ b/internal/leader/failures.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"maps"
 	"slices"
 
 	"swiftledge/internal/block"
@@ -89,3 +90,14 @@
 		}
 	})
 }
+
+// suspectStatus lists the suspect jobs for an operator.
+func (l *Leader) suspectStatus(now clock.Micros) (out []peer.SuspectStatus) {
+	for _, ref := range slices.Sorted(maps.Keys(l.jobs)) {
+		if j := l.jobs[ref]; j.failures.Suspect() {
+			out = append(out, peer.SuspectStatus{Job: ref, Team: j.record.Spec.Team, Machines: len(j.failures.Machines()),
+				Probes: j.failures.Probes() - 1, NextS: max(0, (j.failures.ProbeAt() - now).Seconds())})
+		}
+	}
+	return out
+}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -14,6 +14,7 @@
 	"swiftledge/internal/failures"
 	"swiftledge/internal/fleet"
 	"swiftledge/internal/peer"
+	"swiftledge/internal/standstill"
 	"swiftledge/internal/store"
 	"swiftledge/wire"
 )
@@ -74,7 +75,8 @@
 type Leader struct {
 	settings
 	epochState
-	fx []any // effects of the step under way
+	fx     []any // effects of the step under way
+	pauses standstill.Watch
 }
 
 // settings are what stays the same for as long as the process runs.
@@ -188,6 +190,9 @@
 // Step takes one message at a time.
 func (l *Leader) Step(now clock.Micros, msg any) []any {
 	l.fx = nil
+	if began, paused := l.pauses.Observe(now); paused {
+		l.paused(began, now)
+	}
 	switch m := msg.(type) {
 	case Elected:
 		l.reset()
@@ -212,6 +217,18 @@
 	return l.fx
 }
 
+// paused tells that this controller stood still, and what of its leadership ran out meanwhile.
+func (l *Leader) paused(began, now clock.Micros) {
+	p := standstill.Pause{Began: began, Ended: now}
+	if l.leading && l.until > began && !l.authorised(now) {
+		p.Expired = append(p.Expired, fmt.Sprintf("authority of epoch %d", l.epoch))
+	}
+	if l.leading && l.loaded && !l.current(now) {
+		p.Expired = append(p.Expired, "view of the jobs")
+	}
+	l.emit(Paused{p})
+}
+
 // authorised is asked at the moment of acting: a process that was short of
 // processor time may wake after its authority has ended.
 func (l *Leader) authorised(now clock.Micros) bool { return l.leading && now < l.until }
--- a/internal/leader/messages.go
+++ b/internal/leader/messages.go
@@ -6,6 +6,7 @@
 	"swiftledge/internal/clock"
 	"swiftledge/internal/election"
 	"swiftledge/internal/peer"
+	"swiftledge/internal/standstill"
 	"swiftledge/internal/store"
 	"swiftledge/internal/trace"
 	"swiftledge/wire"
@@ -199,6 +200,8 @@
 	List struct{}
 	// ReadCatalog asks for the catalog.
 	ReadCatalog struct{}
+	// Paused tells that the controller stood still.
+	Paused struct{ Pause standstill.Pause }
 	// AnswerStatus answers an operator's question.
 	AnswerStatus struct {
 		Tag    any
--- /dev/null
+++ b/internal/leader/pauses_test.go
@@ -0,0 +1,47 @@
+package leader
+
+import (
+	"slices"
+	"testing"
+
+	"swiftledge/internal/clock"
+)
+
+// A leader that stood still and leads on has the words of the other controllers in its queues yet: none of them
+// counts as gone, or all blocks would change hands for it.
+func TestNobodyIsGoneForAPauseOfTheLeader(t *testing.T) {
+	l := leading(t)
+	thawed := began + quietTime + clock.Second
+	l.Step(began+clock.Second/2, Tick{})
+	l.viewed, l.until = thawed, thawed+clock.Second
+	fx := l.Step(thawed, Tick{})
+	if l.nodes["n0"] == nil {
+		t.Error("a controller counts as gone for a pause of ours")
+	}
+	if !slices.ContainsFunc(fx, func(e any) bool { _, ok := e.(Paused); return ok }) {
+		t.Error("the pause was not noticed")
+	}
+	for at := thawed; at < thawed+2*quietTime; at += clock.Second / 2 {
+		l.until = at + clock.Second
+		l.Step(at, Tick{})
+	}
+	if l.nodes["n0"] != nil {
+		t.Error("silence after the pause does not count")
+	}
+}
+
+// What ran out during a pause is told.
+func TestPauseTellsWhatRanOut(t *testing.T) {
+	l := leading(t)
+	l.Step(began+clock.Second, Tick{})
+	l.until = began + 3*clock.Second
+	for _, e := range l.Step(began+10*clock.Second, Tick{}) {
+		if p, ok := e.(Paused); ok {
+			if want := []string{"authority of epoch 5", "view of the jobs"}; !slices.Equal(p.Pause.Expired, want) {
+				t.Errorf("%v, want %v", p.Pause.Expired, want)
+			}
+			return
+		}
+	}
+	t.Error("the pause was not noticed")
+}
--- /dev/null
+++ b/internal/leader/preempt_test.go
@@ -0,0 +1,128 @@
+package leader
+
+import (
+	"testing"
+
+	"swiftledge/internal/block"
+	"swiftledge/internal/clock"
+	"swiftledge/internal/config"
+	"swiftledge/internal/peer"
+	"swiftledge/wire"
+)
+
+// full makes a leader of one machine that guest's tasks fill: four that run for long, and have run for a while.
+// change may alter the job before it is taken in.
+func full(t *testing.T, change func(*wire.Job)) (*Leader, *machine) {
+	t.Helper()
+	l := granting(t, nil)
+	l.teams["guest"] = config.Team{Name: "guest"}
+	l.teams["blue"] = config.Team{Name: "blue", CPUs: 4, CPUsMax: 16}
+	l.types["small"] = wire.MachineType{Name: "small", CPUs: 4, MemoryGB: 8, BootS: 20, ZoneNames: []string{"a"}}
+	l.typeList = []wire.MachineType{l.types["small"]}
+	delete(l.jobs, spec.Ref)
+	long := wire.Job{Ref: "j-000100", Team: "guest", Priority: wire.BestEffort, Tasks: 4, CPUs: 1, MemoryGB: 1, EstimateS: 300, Spot: true}
+	if change != nil {
+		change(&long)
+	}
+	j := l.addJob(JobRecord{Spec: long}, 3)
+	for _, m := range l.machines {
+		m.state = peer.MachineState{}
+	}
+	m := l.machines[names[0]]
+	m.state = peer.MachineState{Name: names[0], Type: "small", Zone: "a", Fit: true, Memory: 4}
+	for i := range 4 {
+		task := peer.Task{Job: long.Ref, Index: i}
+		held := &grantedTask{team: long.Team, cpus: 1, running: true, since: began - clock.Micros(20+i)*clock.Second, machine: m.name}
+		m.block.tasks[task] = held
+		l.charge(held, 1)
+		j.takeOut(i)
+	}
+	return l, m
+}
+
+// stopped gives the indexes of the tasks that waiting work stops.
+func stopped(t *testing.T, l *Leader, waiting wire.Job) (out []int) {
+	t.Helper()
+	l.addJob(JobRecord{Spec: waiting}, 4).fillWaiting()
+	l.lastPreempt = 0
+	l.preempt(began, l.queues(began))
+	for _, b := range l.blocks {
+		for _, s := range b.orders.Stop {
+			out = append(out, s.Task.Index)
+		}
+	}
+	return out
+}
+
+// Which waiting work stops which tasks (PROTOCOL, "Preemption").
+func TestPreemption(t *testing.T) {
+	high := wire.Job{Ref: "j-000200", Team: "blue", Priority: wire.High, Tasks: 1, CPUs: 1, MemoryGB: 1, EstimateS: 10, Spot: true}
+	with := func(change func(*wire.Job)) wire.Job {
+		j := high
+		change(&j)
+		return j
+	}
+	for _, c := range []struct {
+		name    string
+		long    func(*wire.Job)
+		waiting wire.Job
+		want    int
+	}{
+		{"high priority stops long work on borrowed capacity", nil, high, 1},
+		{"as much as it needs", nil, with(func(j *wire.Job) { j.Tasks = 3 }), 3},
+		{"work within a guarantee stops it, too", nil, with(func(j *wire.Job) { j.Priority = wire.BestEffort }), 1},
+		{"no more than the guarantee", nil, with(func(j *wire.Job) { j.Priority, j.Tasks, j.CPUs = wire.BestEffort, 3, 2 }), 4},
+		{"another guest of the same priority stops nothing", nil, with(func(j *wire.Job) { j.Team, j.Priority = "guest", wire.BestEffort }), 0},
+		{"a task that ends soon is left to end", func(j *wire.Job) { j.EstimateS = 55 }, high, 0},
+		{"work within its own team's guarantee is left alone", func(j *wire.Job) { j.Team = "red" }, high, 0},
+		{"production stops that all the same", func(j *wire.Job) { j.Team, j.EstimateS = "red", 55 }, with(func(j *wire.Job) { j.Priority = wire.Production }), 1},
+		{"equal priority is not stopped without a guarantee", func(j *wire.Job) { j.Priority = wire.High }, with(func(j *wire.Job) { j.CPUs, j.Tasks = 5, 1 }), 0},
+	} {
+		l, _ := full(t, c.long)
+		if got := stopped(t, l, c.waiting); len(got) != c.want {
+			t.Errorf("%s: %d tasks are stopped (%v), want %d", c.name, len(got), got, c.want)
+		}
+	}
+}
+
+// The task that has just saved loses least.
+func TestPreemptionCostsLittleWork(t *testing.T) {
+	l, _ := full(t, func(j *wire.Job) { j.CheckpointS = 22 })
+	high := wire.Job{Ref: "j-000200", Team: "blue", Priority: wire.High, Tasks: 1, CPUs: 1, MemoryGB: 1, EstimateS: 10, Spot: true}
+	if got := stopped(t, l, high); len(got) != 1 || got[0] != 2 {
+		t.Errorf("stopped %v, want the one that ran for 22 s", got)
+	}
+}
+
+// A suspect job stops nobody.
+func TestSuspectJobStopsNobody(t *testing.T) {
+	l, _ := full(t, nil)
+	high := wire.Job{Ref: "j-000200", Team: "blue", Priority: wire.High, Tasks: 9, CPUs: 1, MemoryGB: 1, EstimateS: 10, Spot: true}
+	j := l.addJob(JobRecord{Spec: high}, 4)
+	for i := range 2 {
+		l.errored(began, j, peer.Event{Task: peer.Task{Job: high.Ref, Index: i}, Machine: names[1+i]}, &grantedTask{})
+	}
+	if !j.failures.Suspect() {
+		t.Fatal("not suspect")
+	}
+	j.fillWaiting()
+	l.preempt(began+clock.Minute, l.queues(began+clock.Minute))
+	for _, b := range l.blocks {
+		if len(b.orders.Stop) > 0 {
+			t.Errorf("stops %v", b.orders.Stop)
+		}
+	}
+}
+
+// An error of a task that is in no grant is no evidence.
+func TestErrorOfNoGrantIsNoEvidence(t *testing.T) {
+	l := granting(t, nil)
+	j := l.jobs[spec.Ref]
+	for _, name := range names[:3] {
+		b := l.blocks[block.Of(name, 2)]
+		l.event(began, b, peer.Event{Task: peer.Task{Job: spec.Ref, Index: 0}, Kind: peer.Errored, Machine: name})
+	}
+	if j.failures.Suspect() || len(j.failures.Machines()) > 0 {
+		t.Error("counted")
+	}
+}
--- a/internal/leader/status.go
+++ b/internal/leader/status.go
@@ -23,6 +23,7 @@
 		}
 	}
 	s.Teams = l.teamStatus()
+	s.Suspects = l.suspectStatus(now)
 	if l.spread != nil {
 		s.Moves, s.Refusals = moveStatus(now, l.spread.InFlight()), refusalStatus(l.spread.Refusals())
 		o := l.spread.Outcomes()
--- a/internal/node/holder.go
+++ b/internal/node/holder.go
@@ -71,6 +71,8 @@
 		x.Tag.(chan block.Answer) <- x
 	case block.Trace:
 		n.tracer.Post(x.Span)
+	case block.Paused:
+		n.pauses <- x.Pause
 	case block.Log:
 		n.log.Warn(x.Text, x.Args...)
 	case block.Orders:
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -89,6 +89,8 @@
 				n.elector <- election.Resign{Epoch: e}
 			}
 		}()
+	case leader.Paused:
+		n.pauses <- x.Pause
 	case leader.Log:
 		if x.Debug {
 			n.log.Debug(x.Text, x.Args...)
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -110,6 +110,7 @@
 		}
 	default: // its mailbox is full; what little is known here has to do
 	}
+	s.Pauses, s.LastPause = n.pausesSeen()
 	v := n.directory.Look("")
 	s.Leader, s.Epoch = v.Leader, v.Epoch
 	return s
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,6 +59,7 @@
 	tracer    *trace.Tracer // nil: nothing is traced
 
 	elector, leader, holder mailbox
+	pauses                  mailbox
 	cloudWork               chan func()
 	directs                 chan struct{}
 }
@@ -67,7 +68,7 @@
 func New(cfg *config.Config, log *slog.Logger) *Node {
 	n := &Node{cfg: cfg, log: log, clock: clock.NewSteady(), run: rand.Uint64() >> 1,
 		elector: make(mailbox, leastMailbox), leader: make(mailbox, mailboxSize(cfg)), holder: make(mailbox, mailboxSize(cfg)),
-		cloudWork: make(chan func(), 64), directs: make(chan struct{}, mostDirects(cfg))}
+		pauses: make(mailbox, 16), cloudWork: make(chan func(), 64), directs: make(chan struct{}, mostDirects(cfg))}
 	n.health = newHealth()
 	n.store = store.New(cfg.Endpoints.State, n.share(false), n.health.note)
 	n.cloud = cloud.New(cfg.Endpoints.Cloud, cfg.Facts.Cloud.RPS)
@@ -108,6 +109,7 @@
 		return err
 	}
 	go n.tick(ctx)
+	go n.runPauses(ctx)
 	go n.runElector(ctx)
 	go n.runLeader(ctx)
 	go n.runHolder(ctx)
--- /dev/null
+++ b/internal/node/pauses.go
@@ -0,0 +1,65 @@
+package node
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"swiftledge/internal/clock"
+	"swiftledge/internal/peer"
+	"swiftledge/internal/standstill"
+)
+
+// askPauses asks for the pauses of this process.
+type askPauses struct{ answer chan pausesSeen }
+
+// pausesSeen are how often this process stood still, and the last time.
+type pausesSeen struct {
+	count int
+	last  standstill.Pause
+}
+
+// runPauses is the actor that remembers when this process stood still, and logs each pause once.
+func (n *Node) runPauses(ctx context.Context) {
+	var recorder standstill.Recorder
+	var gathered <-chan time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case msg := <-n.pauses:
+			switch m := msg.(type) {
+			case standstill.Pause:
+				if recorder.Add(m) {
+					gathered = time.After(time.Duration(standstill.GatherTime) * time.Microsecond)
+				}
+			case askPauses:
+				last, count := recorder.Last()
+				m.answer <- pausesSeen{count, last}
+			}
+		case <-gathered:
+			p := recorder.Close()
+			n.log.Warn("stood still", "length_s", p.Length().Seconds(), "expired", expiredText(p.Expired))
+		}
+	}
+}
+
+// expiredText is what ran out in a pause, for a person.
+func expiredText(expired []string) string {
+	if len(expired) == 0 {
+		return "nothing"
+	}
+	return strings.Join(expired, ", ")
+}
+
+// pausesSeen is what an operator is told of the pauses of this process; nil without any.
+func (n *Node) pausesSeen() (int, *peer.PauseStatus) {
+	q := askPauses{make(chan pausesSeen, 1)}
+	n.pauses <- q
+	seen := <-q.answer
+	if seen.count == 0 {
+		return 0, nil
+	}
+	ago := n.clock.Now() - seen.last.Ended
+	return seen.count, &peer.PauseStatus{AgoS: ago.Seconds(), LengthS: seen.last.Length().Seconds(), At: clock.Wall() - ago, Expired: seen.last.Expired}
+}
--- a/internal/peer/status.go
+++ b/internal/peer/status.go
@@ -9,6 +9,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"swiftledge/internal/clock"
 	"swiftledge/internal/netio"
 )
 
@@ -22,6 +23,9 @@
 	Leader string `msgpack:"leader" json:"leader"` // whom it follows; "" if nobody
 	Epoch  uint64 `msgpack:"epoch" json:"epoch"`
 	Leads  bool   `msgpack:"leads" json:"leads"`
+	// How often it stood still since it was started, and the last time.
+	Pauses    int          `msgpack:"pauses" json:"pauses"`
+	LastPause *PauseStatus `msgpack:"last_pause" json:"last_pause,omitempty"`
 	// What follows is known to the leader alone.
 	Spread   bool            `msgpack:"spread" json:"spread"`  // it keeps work even
 	MeanLoad float64         `msgpack:"mean" json:"mean_load"` // of the machines that take work
@@ -31,6 +35,24 @@
 	Moves    []MoveStatus    `msgpack:"moves" json:"moves"`       // in flight
 	Refusals []RefusalStatus `msgpack:"refusals" json:"refusals"` // of the last look for moves
 	Ended    MovesEnded      `msgpack:"ended" json:"moves_of_epoch"`
+	Suspects []SuspectStatus `msgpack:"suspects" json:"suspect_jobs"`
+}
+
+// PauseStatus is a time in which a controller stood still.
+type PauseStatus struct {
+	At      clock.Micros `msgpack:"at" json:"ended_at_us"` // time of day at which it ended
+	AgoS    float64      `msgpack:"ago_s" json:"ago_s"`
+	LengthS float64      `msgpack:"length_s" json:"length_s"`
+	Expired []string     `msgpack:"expired" json:"expired"` // what ran out meanwhile
+}
+
+// SuspectStatus is a job whose tasks fail wherever they run.
+type SuspectStatus struct {
+	Job      string  `msgpack:"job" json:"job"`
+	Team     string  `msgpack:"team" json:"team"`
+	Machines int     `msgpack:"machines" json:"failed_on_machines"`
+	Probes   int     `msgpack:"probes" json:"probes"` // tasks tried since it became suspect
+	NextS    float64 `msgpack:"next_s" json:"next_probe_s"`
 }
 
 // BlockStatus is a block of machines.
--- a/internal/scenario/commands_questions_test.go
+++ b/internal/scenario/commands_questions_test.go
@@ -234,3 +234,25 @@
 	items, _ := w.store.List(arg(t, d, "prefix", ""))
 	return fmt.Sprint(len(items))
 }
+
+// suspectsCommand lists the suspect jobs, as an operator is told of them.
+func suspectsCommand(_ *testing.T, w *world, _ *datadriven.TestData) string {
+	var refs []string
+	for _, s := range w.status().Suspects {
+		refs = append(refs, s.Job)
+	}
+	if len(refs) == 0 {
+		return "none"
+	}
+	return strings.Join(refs, " ")
+}
+
+// pausedCommand says what a controller noticed of the last time in which it stood still.
+func pausedCommand(t *testing.T, w *world, d *datadriven.TestData) string {
+	n := w.nodeOf(t, d)
+	p := n.pauses.Close()
+	if p.Length() == 0 {
+		return "not noticed"
+	}
+	return fmt.Sprintf("%.0f s: %s", p.Length().Seconds(), strings.Join(p.Expired, ", "))
+}
--- a/internal/scenario/node_test.go
+++ b/internal/scenario/node_test.go
@@ -16,6 +16,7 @@
 	"swiftledge/internal/election"
 	"swiftledge/internal/leader"
 	"swiftledge/internal/peer"
+	"swiftledge/internal/standstill"
 	"swiftledge/internal/store"
 	"swiftledge/wire"
 )
@@ -47,6 +48,7 @@
 	leaderRev   uint64
 	jobEpoch    uint64
 	jobRev      uint64
+	pauses      standstill.Recorder
 }
 
 // Controllers.
@@ -206,6 +208,8 @@
 	case block.Answer:
 		x.Tag.(func(block.Answer))(x)
 	case block.Trace:
+	case block.Paused:
+		n.pauses.Add(x.Pause)
 	case block.Log:
 		n.w.breaks("%s: %v", x.Text, x.Args) // the stand-ins never contradict themselves
 	case block.Orders:
@@ -378,6 +382,8 @@
 		cloud(func() any { return leader.CatalogRead{Types: w.cloud.Types} }, nil)
 	case leader.Resign:
 		w.after(1, n.still(func() { n.electorStep(election.Resign{Epoch: n.elector.Epoch()}) }))
+	case leader.Paused:
+		n.pauses.Add(x.Pause)
 	case leader.Log, leader.Trace:
 	case leader.AnswerStatus:
 		*x.Tag.(*peer.Status) = x.Status
--- a/internal/scenario/rules_test.go
+++ b/internal/scenario/rules_test.go
@@ -26,6 +26,10 @@
 // idleFor is how long a job may wait beside room for it once all troubles are over.
 const idleFor = 90 * clock.Second
 
+// mostPause is how long after its last try a task that fails wherever it runs may wait for the next: the longest
+// pause, and the time to place it.
+const mostPause = 40 * clock.Second
+
 // watchWaiting judges, once a second, that no job is left waiting while a machine that fits
 // has room and its team is under its limit.
 func (w *world) watchWaiting() {
@@ -63,6 +67,10 @@
 		team, _ := w.cfg.Team(j.Team)
 		_, over := w.store.Get(leader.EndPrefix + ref)
 		waits := !over && !j.Standing() && !j.OneZone && !j.Spread && at[ref]+on[ref] < j.Tasks && use[j.Team]+j.CPUs <= team.CPULimit()
+		// What fails wherever it runs waits as long as it is not tried.
+		if w.mistaken[ref] > 0 && w.now-w.tried[ref] < mostPause {
+			waits = false
+		}
 		if waits {
 			waits = false
 			for s, r := range free {
@@ -139,6 +147,7 @@
 // started judges the rules that can break when a task begins to run.
 func (w *world) started(at *simWorker, t *standin.Task) {
 	w.history.start(at.Name, t)
+	w.tried[t.Job.Ref] = w.now
 	if _, ok := w.begun[t.Job.Ref]; !ok {
 		w.begun[t.Job.Ref] = w.now
 	}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -143,6 +143,7 @@
 		"reckonS": float64(arg(t, d, "reckon", arg(t, d, "run", 10))), "waypointS": float64(arg(t, d, "waypoint", 0)), "stashS": 2.0, "dueS": due})
 	must(err)
 	w.bodies[ref] = body
+	w.mistaken[ref] = arg(t, d, "mistaken", 0)
 	w.runS[ref] = float64(arg(t, d, "run", 10))
 	if arg(t, d, "shape", wire.Batch) == wire.Service {
 		w.runS[ref] = float64(arg(t, d, "ends", 0))
@@ -195,6 +196,7 @@
 		"node":        nodeCommand,
 		"on":          onCommand,
 		"on_machines": onMachinesCommand,
+		"paused":      pausedCommand,
 		"ran":         ranCommand,
 		"raw":         rawCommand,
 		"ready":       readyCommand,
@@ -206,6 +208,7 @@
 		"status":      statusCommand,
 		"store":       storeCommand,
 		"submit":      submitCommand,
+		"suspects":    suspectsCommand,
 		"tries":       triesCommand,
 		"worker":      workerCommand,
 		"zone":        zoneCommand,
--- a/internal/scenario/worker_test.go
+++ b/internal/scenario/worker_test.go
@@ -39,8 +39,9 @@
 	}
 	s := &simWorker{rented: m, Worker: &standin.Worker{Name: m.Name, Address: m.Address, Type: m.Type, Zone: m.Zone, Spot: m.Spot,
 		Lease: w.cfg.LeaseTime(), CPUs: t.CPUs, Memory: t.MemoryGB, FetchS: 1,
-		Find: func(ref string) (wire.Job, bool) { j, ok := w.jobs[ref]; return j, ok },
-		RunS: func(j *wire.Job, i int) float64 { return w.runS[j.Ref] }}}
+		Find:  func(ref string) (wire.Job, bool) { j, ok := w.jobs[ref]; return j, ok },
+		RunS:  func(j *wire.Job, i int) float64 { return w.runS[j.Ref] },
+		Fails: func(j *wire.Job, i int) bool { return w.mistaken[j.Ref] > 0 && i%w.mistaken[j.Ref] == 0 }}}
 	s.Kept, s.Progress = w.kept, w.progress
 	s.Ordered = func(t *standin.Task) { w.history.order(s.Name, t) }
 	s.Started = func(t *standin.Task) { w.started(s, t) }
--- a/internal/scenario/world_test.go
+++ b/internal/scenario/world_test.go
@@ -54,6 +54,8 @@
 	told         map[string]string       // by job: the latest state that any node told
 	fits         map[string]clock.Micros // by job: since when it waits beside room for it
 	bodies       map[string][]byte       // submissions
+	mistaken     map[string]int          // by job: each how many-eth task fails wherever it runs
+	tried        map[string]clock.Micros // by job: when a task of it last began to run
 	asked        int                     // requests of controllers to the state service
 	said         int                     // messages between different controllers
 	looks        bool                    // users ask everywhere, and submit again, as soon as something was told
@@ -68,7 +70,7 @@
 		cloud:  standin.NewCloud(types, clock.FromSeconds(cfg.Facts.Cloud.ListLagS)),
 		byName: map[string]*simWorker{}, holds: map[string][]held{},
 		jobs: map[string]wire.Job{}, runS: map[string]float64{}, aborted: map[string]clock.Micros{}, ran: map[string]int{}, next: cfg.Facts.State.Next, sent: map[string]clock.Micros{}, begun: map[string]clock.Micros{},
-		told: map[string]string{}, fits: map[string]clock.Micros{}, bodies: map[string][]byte{}}
+		told: map[string]string{}, fits: map[string]clock.Micros{}, bodies: map[string][]byte{}, mistaken: map[string]int{}, tried: map[string]clock.Micros{}}
 	w.kept, w.progress, w.history = map[string]bool{}, map[string]float64{}, newHistory(w)
 	for i := range cfg.Facts.InitialSize {
 		n := &simNode{w: w, i: i, name: fmt.Sprintf("n%d", i), cfg: cfg}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -37,6 +37,8 @@
 	Find func(ref string) (wire.Job, bool)
 	// RunS is how long a task really runs.
 	RunS func(j *wire.Job, index int) float64
+	// Fails says whether a task was submitted with a mistake: it fails wherever it runs. Nil: none does.
+	Fails func(j *wire.Job, index int) bool
 	// Ordered, Started, Restarted and Ended tell who watches the rules.
 	Ordered   func(t *Task) // a run order is carried out for an attempt that was not listed
 	Started   func(t *Task)
@@ -117,12 +119,12 @@
 			if t.Job.Standing() && t.until == now {
 				t.until = 0 // until it is stopped
 			}
-			if w.Sick {
+			if w.fails(t) {
 				t.until = now + clock.Second
 			}
 			w.Started(t)
 		case wire.Running:
-			if w.Sick {
+			if w.fails(t) {
 				w.end(now, t, wire.CauseError)
 			} else {
 				w.Kept[w.result(t)] = true
@@ -137,6 +139,9 @@
 	return changed
 }
 
+// fails says whether a task fails: its machine is faulty, or it is.
+func (w *Worker) fails(t *Task) bool { return w.Sick || w.Fails != nil && w.Fails(&t.Job, t.Index) }
+
 // result is where a task's result is kept. A replica of a service may run again elsewhere.
 func (w *Worker) result(t *Task) string {
 	if t.Job.Standing() {
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 	"sync"
 	"text/tabwriter"
 
@@ -87,6 +88,7 @@
 		}
 		t.row(c.Name, c.Address, c.Status.Leader, c.Status.Epoch, role(c.Status))
 	}
+	t.pauses(all)
 	for _, c := range all {
 		if c.Status != nil && c.Status.Leads {
 			t.leader(c.Status, machines)
@@ -158,9 +160,41 @@
 		}
 		t.row(team.Team, team.CPUs, limit, team.Waiting, team.AtLimit)
 	}
+	t.suspects(s)
 	t.moves(s)
 }
 
+// pauses shows which controllers stood still, if any did.
+func (t *table) pauses(all []Controller) {
+	headed := false
+	for _, c := range all {
+		if c.Status == nil || c.Status.LastPause == nil {
+			continue
+		}
+		if !headed {
+			t.heading("STOOD STILL", "TIMES", "LAST ENDED S AGO", "FOR S", "EXPIRED MEANWHILE")
+			headed = true
+		}
+		p := c.Status.LastPause
+		expired := "nothing"
+		if len(p.Expired) > 0 {
+			expired = strings.Join(p.Expired, ", ")
+		}
+		t.row(c.Name, c.Status.Pauses, p.AgoS, p.LengthS, expired)
+	}
+}
+
+// suspects shows the jobs whose tasks fail wherever they run, if there are any.
+func (t *table) suspects(s *peer.Status) {
+	if len(s.Suspects) == 0 {
+		return
+	}
+	t.heading("SUSPECT JOB", "TEAM", "FAILED ON", "PROBES", "NEXT IN S")
+	for _, j := range s.Suspects {
+		t.row(j.Job, j.Team, fmt.Sprintf("%d machines", j.Machines), j.Probes, j.NextS)
+	}
+}
+
 func (t *table) moves(s *peer.Status) {
 	if !s.Spread {
 		t.heading("MOVES", "off")
