Machines that come up and never report are given up; options whose machines fail to boot come later

Cause: a machine that the list calls running and whose worker never reported was neither late nor silent nor idle, so it was kept for ever; rent went on asking for the type and zone whose machines did not come up. Change: given up after twice a lease (or the late time); an option's expected boot time grows with failed boots in a row. Random clusters draw mistaken jobs, a guest's long jobs, late, instant and silent boots.

--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -180,12 +180,32 @@
 		alone := silent[m.block]*2 < up[m.block] || silent[m.block] == 1
 		if why := l.whyDoomed(now, m, alone); why != "" {
 			out = append(out, name)
+			if why == neverCameUp {
+				l.noBoots[m.opt.Key()]++
+			}
 			l.emit(Log{Debug: true, Text: "giving machine up", Args: []any{"machine", name, "why", why}})
 		}
 	}
 	return out
 }
 
+// neverCameUp is why a machine is given up that the cloud still starts.
+const neverCameUp = "never came up"
+
+// silentBoot is how long a machine may be listed as up without a report. Whatever an earlier holder had started there
+// has lost its lease by then.
+func (l *Leader) silentBoot(late clock.Micros) clock.Micros { return max(late, 2*l.cfg.LeaseTime()) }
+
+// mostNoBoots bounds by how much an option's machines that did not come up count.
+const mostNoBoots = 4
+
+// expected is an option with the boot time that is to be expected of it: longer where machines lately did not come
+// up, so that others are rented before it if they would do.
+func (l *Leader) expected(o fleet.Option) fleet.Option {
+	o.Type.BootS *= float64(1 + min(l.noBoots[o.Key()], mostNoBoots))
+	return o
+}
+
 // whyDoomed says why a machine serves nobody any more; "": it does, or may yet. alone: not many of its
 // block are silent.
 func (l *Leader) whyDoomed(now clock.Micros, m *machine, alone bool) string {
@@ -199,7 +219,9 @@
 	case m.state.Silent && (m.state.Notice || alone):
 		return "silent"
 	case !m.up && (m.booting || m.listed == 0) && m.block.state == granted && now-m.born > late && now-l.began > late/2:
-		return "never came up"
+		return neverCameUp
+	case !m.up && m.running > 0 && m.block.state == granted && now-max(m.running, l.began) > l.silentBoot(late):
+		return "never reported"
 	case m.drain && m.up && m.state.Tasks == 0 && !m.block.offered:
 		return "drained"
 	}
@@ -240,7 +262,7 @@
 	var opts []fleet.Option
 	for _, t := range l.typeList {
 		for _, z := range t.ZoneNames {
-			opts = append(opts, fleet.Option{Type: t, Zone: z}, fleet.Option{Type: t, Zone: z, Spot: true})
+			opts = append(opts, l.expected(fleet.Option{Type: t, Zone: z}), l.expected(fleet.Option{Type: t, Zone: z, Spot: true}))
 		}
 	}
 	tune := l.cfg.Tuning.Fleet
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -47,6 +47,7 @@
 	out      bool // its holder was told to leave it out
 	state    peer.MachineState
 	listed   clock.Micros // last seen in the list; 0: never
+	running  clock.Micros // since when the list says that it is up; 0: it does not
 	missing  int          // how many lists in a row lacked it
 	failed   bool         // it is listed as stopped by itself
 	idle     clock.Micros // since when it has no task
@@ -130,6 +131,7 @@
 	types      map[string]wire.MachineType
 	typeList   []wire.MachineType
 	refused    map[fleet.OptionKey]refusal
+	noBoots    map[fleet.OptionKey]int // how many machines in a row did not come up
 	listing    bool
 	deleting   int        // deletions under way
 	spread     *spreading // nil while spreading is off
@@ -183,7 +185,7 @@
 		jobs:  map[string]*job{}, usage: map[string]*use{}, classes: map[string]*classStat{}, classesSeen: map[string]bool{}, counts: map[string]peer.TaskCount{},
 		machines: map[string]*machine{}, rentals: map[string]*rental{}, gone: map[string]bool{}, found: map[string]wire.Machine{},
 		unanswered: map[string]bool{}, doubtful: map[string]bool{},
-		types: map[string]wire.MachineType{}, refused: map[fleet.OptionKey]refusal{},
+		types: map[string]wire.MachineType{}, refused: map[fleet.OptionKey]refusal{}, noBoots: map[fleet.OptionKey]int{},
 	}
 }
 
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -45,6 +45,9 @@
 		m.state.Silent = m.up && s.Silent
 		return
 	}
+	if !m.up {
+		delete(l.noBoots, m.opt.Key())
+	}
 	m.up = true
 	m.address = s.Address
 	if s.Tasks > 0 || m.state.Tasks > 0 {
@@ -112,6 +115,11 @@
 		}
 		m.listed, m.missing, m.address = now, 0, w.Address
 		m.booting = w.State == wire.Starting
+		if w.State != wire.Running {
+			m.running = 0
+		} else if m.running == 0 {
+			m.running = now
+		}
 		m.failed = w.State == wire.Failed
 	}
 	for _, m := range l.machines {
--- a/internal/scenario/commands_faults_test.go
+++ b/internal/scenario/commands_faults_test.go
@@ -120,8 +120,21 @@
 	return ""
 }
 
-// nobootCommand keeps the next machines from booting.
+// nobootCommand keeps the next machines from booting, or has them boot and never report.
 func nobootCommand(t *testing.T, w *world, d *datadriven.TestData) string {
-	w.cloud.NoBoot = arg(t, d, "next", 1)
+	if d.HasArg("quiet") {
+		w.cloud.NoReport = arg(t, d, "next", 1)
+	} else {
+		w.cloud.NoBoot = arg(t, d, "next", 1)
+	}
+	return ""
+}
+
+// bootCommand has the next machines boot in so many times the usual time, and the machine list be late.
+func bootCommand(t *testing.T, w *world, d *datadriven.TestData) string {
+	w.cloud.BootFactor = arg(t, d, "factor", 0.0)
+	if lag := span(t, d, "lag"); lag > 0 {
+		w.cloud.Lag = lag
+	}
 	return ""
 }
--- a/internal/scenario/random_faults_test.go
+++ b/internal/scenario/random_faults_test.go
@@ -109,6 +109,22 @@
 		}
 		return func() {}
 	},
+	"a mistaken job": func(w *world, f fault) func() {
+		ref := w.submitMistaken(f.who, 20+f.many)
+		return func() { w.callOffAgain(ref, f.who) }
+	},
+	"a guest's long job": func(w *world, f fault) func() {
+		w.submitGuest(f.who, 20+8*f.many)
+		return func() {}
+	},
+	"machines never report": func(w *world, f fault) func() {
+		w.cloud.NoReport = f.many / 4
+		return func() { w.cloud.NoReport = 0 }
+	},
+	"machines boot late or at once": func(w *world, f fault) func() {
+		w.cloud.BootFactor = []float64{0.05, 3, 6}[f.who%3]
+		return func() { w.cloud.BootFactor = 0 }
+	},
 	"a burst of jobs": func(w *world, f fault) func() {
 		for i := range 3 {
 			w.submitRandom(f.who+i, 40+f.many, 6+f.who)
@@ -217,6 +233,35 @@
 	w.submitAgain(j, i)
 }
 
+// submitMistaken has a user submit a job that fails on every machine.
+func (w *world) submitMistaken(i, tasks int) string {
+	w.submitted++
+	j := wire.Job{Ref: fmt.Sprintf("j-%06d", w.submitted), Class: "l", Team: []string{"red", "blue"}[i%2], Shape: wire.Batch,
+		Priority: wire.Standard, Tasks: tasks, CPUs: 1, MemoryGB: 1, Image: "img9", ImageGB: 1, Spot: true, EstimateS: 10}
+	w.runS[j.Ref], w.mistaken[j.Ref] = 10, 1
+	w.submitAgain(j, i)
+	return j.Ref
+}
+
+// submitGuest has a team without a guarantee and without a limit submit long tasks of low priority.
+func (w *world) submitGuest(i, tasks int) {
+	w.submitted++
+	j := wire.Job{Ref: fmt.Sprintf("j-%06d", w.submitted), Class: "g", Team: "guest", Shape: wire.Batch, Priority: wire.BestEffort,
+		Tasks: tasks, CPUs: 1, MemoryGB: 1, Image: "img8", ImageGB: 1, Spot: true, EstimateS: 25, CheckpointS: 5, SaveS: 1}
+	w.runS[j.Ref] = 25
+	w.submitAgain(j, i)
+}
+
+// callOffAgain repeats a cancellation until a controller answers it.
+func (w *world) callOffAgain(ref string, i int) {
+	n := w.nodes[i%len(w.nodes)]
+	_, accepted := w.jobs[ref]
+	if accepted && n.alive && n.frozenUntil <= w.now && w.callOff(n, ref) == wire.Cancelled {
+		return
+	}
+	w.after(clock.Second, func() { w.callOffAgain(ref, i+1) })
+}
+
 // submitAgain repeats a submission until a controller accepts it.
 func (w *world) submitAgain(j wire.Job, i int) {
 	body, err := json.Marshal(j)
@@ -237,6 +282,7 @@
 	for _, name := range []string{"red", "blue"} {
 		f.Teams = append(f.Teams, config.Team{Name: name, CPUs: 100, CPUsMax: max(500, float64(machines*4))})
 	}
+	f.Teams = append(f.Teams, config.Team{Name: "guest"})
 	f.Workers.ReportS, f.Workers.LeaseS, f.Workers.CancelS = 3, 17, 40
 	f.State.RPS, f.State.WriteRPS, f.State.ValueKB, f.State.TxnOps = 200, 40, 4, 8
 	f.Cloud.RPS, f.Cloud.ListLagS = 4, 4
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -173,6 +173,7 @@
 		"await":       awaitCommand,
 		"back":        backCommand,
 		"begun":       begunCommand,
+		"boot":        bootCommand,
 		"call_off":    callOffCommand,
 		"catalog":     catalogCommand,
 		"cloud":       cloudCommand,
--- a/internal/scenario/world_test.go
+++ b/internal/scenario/world_test.go
@@ -106,7 +106,7 @@
 	w.coming = append(w.coming, w.cloud.Order[w.rented:]...)
 	w.rented = len(w.cloud.Order)
 	w.coming = slices.DeleteFunc(w.coming, func(m *standin.Rented) bool {
-		up := !m.Gone && !m.Dead && !m.Never && w.now >= m.UpAt
+		up := !m.Gone && !m.Dead && !m.Never && !m.Quiet && w.now >= m.UpAt
 		if up {
 			w.boot(m)
 		}
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -12,6 +12,7 @@
 	wire.Machine
 	Since, UpAt, Listed clock.Micros
 	Never               bool // it will not come up
+	Quiet               bool // it comes up, and its worker never reports
 	Dead                bool // it stopped by itself
 	Gone                bool
 }
@@ -22,6 +23,9 @@
 	Capacity int // machines at once; 0: no bound
 	Lag      clock.Micros
 	NoBoot   int // how many of the next machines never come up
+	NoReport int // how many of the next machines come up and never report
+	// BootFactor makes the next machines boot in so many times the usual time; 0: in the usual time.
+	BootFactor float64
 	Machines map[string]*Rented
 	Order    []*Rented // all of them, in the order of creation, which is that of their names
 
@@ -81,6 +85,13 @@
 		c.NoBoot--
 		m.Never = true
 	}
+	if c.NoReport > 0 {
+		c.NoReport--
+		m.Quiet = true
+	}
+	if c.BootFactor > 0 {
+		m.UpAt = now + clock.FromSeconds(t.BootS*c.BootFactor)
+	}
 	c.Machines[m.Name] = m
 	c.Order = append(c.Order, m)
 	return m
