--- /dev/null
+++ b/internal/leader/failures_test.go
@@ -0,0 +1,98 @@
+package leader
+
+import (
+	"slices"
+	"testing"
+
+	"swiftledge/internal/block"
+	"swiftledge/internal/clock"
+	"swiftledge/internal/peer"
+	"swiftledge/wire"
+)
+
+// A job that becomes suspect has those of its tasks stopped that have not begun to run; those that run go on, and
+// one that runs for long ends the suspicion.
+func TestSuspectJobsUnstartedTasksAreStopped(t *testing.T) {
+	l := granting(t, nil)
+	s := spec
+	s.Ref, s.Tasks = "j-000300", 8
+	j := l.addJob(JobRecord{Spec: s}, 5)
+	b := l.blocks[block.Of(names[0], 2)]
+	for i := range 4 {
+		task := peer.Task{Job: s.Ref, Index: i}
+		b.tasks[task] = &grantedTask{team: s.Team, cpus: 1, running: i == 3, since: began, machine: names[0]}
+		j.takeOut(i)
+	}
+	for i, name := range names[:2] {
+		l.errored(began, j, peer.Event{Task: peer.Task{Job: s.Ref, Index: 4 + i}, Machine: name}, &grantedTask{})
+	}
+	var stopped []int
+	for _, stop := range b.orders.Stop {
+		stopped = append(stopped, stop.Task.Index)
+	}
+	if !slices.Equal(stopped, []int{0, 1, 2}) {
+		t.Errorf("stopped %v, want the three that do not run", stopped)
+	}
+	if l.reconsider(began+steady-1, j); !j.failures.Suspect() {
+		t.Error("cleared by a short run")
+	}
+	if l.reconsider(began+steady, j); j.failures.Suspect() {
+		t.Error("not cleared by a long run")
+	}
+}
+
+// A job that completes a task after others of it failed makes those failures count against their machines.
+func TestCompletionJudgesTheMachinesWhereItsJobFailed(t *testing.T) {
+	l := granting(t, nil)
+	j := l.jobs[spec.Ref]
+	fail := func() {
+		l.errored(began, j, peer.Event{Task: peer.Task{Job: spec.Ref, Index: 0}, Machine: names[1]}, &grantedTask{})
+	}
+	if fail(); l.machines[names[1]].drain {
+		t.Error("drained for a job of which nothing is known")
+	}
+	if fail(); l.machines[names[1]].drain {
+		t.Error("drained for a job of which nothing is known")
+	}
+	if l.completed(began, j, peer.Event{Task: peer.Task{Job: spec.Ref, Index: 1}, Machine: names[2]}); !l.machines[names[1]].drain {
+		t.Error("not drained when its job has completed elsewhere")
+	}
+}
+
+// A machine that the list calls running and whose worker never reports is given up, and machines that do not come
+// up make their option's boot time count for more, until one does.
+func TestMachinesThatNeverWork(t *testing.T) {
+	l := granting(t, nil)
+	silent, booting, healthy := l.machines[names[0]], l.machines[names[1]], l.machines[names[2]]
+	for _, m := range []*machine{silent, booting, healthy} {
+		m.up, m.opt.Type.BootS = false, 20
+	}
+	list := func(at clock.Micros) {
+		l.listedMachines(at, []wire.Machine{{Name: silent.name, State: wire.Running}, {Name: booting.name, State: wire.Starting}, {Name: healthy.name, State: wire.Running}})
+	}
+	list(began)
+	l.machineState(began+clock.Second, peer.MachineState{Name: healthy.name, Type: "small", Fit: true})
+	late := clock.FromSeconds(20 * l.cfg.Tuning.Fleet.LateFactor)
+	for _, c := range []struct {
+		at   clock.Micros
+		m    *machine
+		want string
+	}{
+		{began + late, silent, ""},
+		{began + l.silentBoot(late) + clock.Second, silent, "never reported"},
+		{began + late + clock.Second, booting, neverCameUp},
+		{began + 10*late, healthy, ""},
+	} {
+		if why := l.whyDoomed(c.at, c.m, true); why != c.want {
+			t.Errorf("%s after %.0f s: %q, want %q", c.m.name, (c.at - began).Seconds(), why, c.want)
+		}
+	}
+	l.doomed(began + late + clock.Second)
+	if boot := l.expected(booting.opt).Type.BootS; boot != 40 {
+		t.Errorf("expected boot time %g s after one that did not come up", boot)
+	}
+	l.machineState(began+late+2*clock.Second, peer.MachineState{Name: booting.name, Type: "small", Fit: true})
+	if boot := l.expected(booting.opt).Type.BootS; boot != 20 {
+		t.Errorf("expected boot time %g s after one came up", boot)
+	}
+}
--- a/internal/leader/preempt_test.go
+++ b/internal/leader/preempt_test.go
@@ -72,6 +72,8 @@
 		{"as much as it needs", nil, with(func(j *wire.Job) { j.Tasks = 3 }), 3},
 		{"work within a guarantee stops it, too", nil, with(func(j *wire.Job) { j.Priority = wire.BestEffort }), 1},
 		{"no more than the guarantee", nil, with(func(j *wire.Job) { j.Priority, j.Tasks, j.CPUs = wire.BestEffort, 3, 2 }), 4},
+		{"high priority does so beyond a guarantee, too", nil, with(func(j *wire.Job) { j.Team = "guest" }), 1},
+		{"standard work beyond a guarantee stops nothing", nil, with(func(j *wire.Job) { j.Team, j.Priority = "guest", wire.Standard }), 0},
 		{"another guest of the same priority stops nothing", nil, with(func(j *wire.Job) { j.Team, j.Priority = "guest", wire.BestEffort }), 0},
 		{"a task that ends soon is left to end", func(j *wire.Job) { j.EstimateS = 55 }, high, 0},
 		{"work within its own team's guarantee is left alone", func(j *wire.Job) { j.Team = "red" }, high, 0},
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -84,8 +84,7 @@
 	if c.NoBoot > 0 {
 		c.NoBoot--
 		m.Never = true
-	}
-	if c.NoReport > 0 {
+	} else if c.NoReport > 0 {
 		c.NoReport--
 		m.Quiet = true
 	}
