--- a/internal/leader/failures_test.go
+++ b/internal/leader/failures_test.go
@@ -59,6 +59,23 @@
 	}
 }
 
+// What failed of a job that was cancelled before anything was known of it is no evidence against a machine.
+func TestCancelledJobTaintsNoMachine(t *testing.T) {
+	l := granting(t, nil)
+	for i := range 3 {
+		s := spec
+		s.Ref = []string{"j-000401", "j-000402", "j-000403"}[i]
+		j := l.addJob(JobRecord{Spec: s}, 5)
+		l.errored(began, j, peer.Event{Task: peer.Task{Job: s.Ref}, Machine: names[1]}, &grantedTask{})
+		if i == 0 {
+			l.cancel(began, j)
+		}
+	}
+	if l.machines[names[1]].drain {
+		t.Error("drained")
+	}
+}
+
 // A machine that the list calls running and whose worker never reports is given up, and machines that do not come
 // up make their option's boot time count for more, until one does.
 func TestMachinesThatNeverWork(t *testing.T) {
--- a/internal/leader/preempt_test.go
+++ b/internal/leader/preempt_test.go
@@ -16,7 +16,7 @@
 	t.Helper()
 	l := granting(t, nil)
 	l.teams["guest"] = config.Team{Name: "guest"}
-	l.teams["blue"] = config.Team{Name: "blue", CPUs: 4, CPUsMax: 16}
+	l.teams["blue"] = config.Team{Name: "blue", CPUs: 3, CPUsMax: 16}
 	l.types["small"] = wire.MachineType{Name: "small", CPUs: 4, MemoryGB: 8, BootS: 20, ZoneNames: []string{"a"}}
 	l.typeList = []wire.MachineType{l.types["small"]}
 	delete(l.jobs, spec.Ref)
@@ -71,7 +71,7 @@
 		{"high priority stops long work on borrowed capacity", nil, high, 1},
 		{"as much as it needs", nil, with(func(j *wire.Job) { j.Tasks = 3 }), 3},
 		{"work within a guarantee stops it, too", nil, with(func(j *wire.Job) { j.Priority = wire.BestEffort }), 1},
-		{"no more than the guarantee", nil, with(func(j *wire.Job) { j.Priority, j.Tasks, j.CPUs = wire.BestEffort, 3, 2 }), 4},
+		{"no more than the guarantee", nil, with(func(j *wire.Job) { j.Priority, j.Tasks = wire.Standard, 4 }), 3},
 		{"high priority does so beyond a guarantee, too", nil, with(func(j *wire.Job) { j.Team = "guest" }), 1},
 		{"standard work beyond a guarantee stops nothing", nil, with(func(j *wire.Job) { j.Team, j.Priority = "guest", wire.Standard }), 0},
 		{"another guest of the same priority stops nothing", nil, with(func(j *wire.Job) { j.Team, j.Priority = "guest", wire.BestEffort }), 0},
