--- a/cmd/loopback/main.go
+++ b/cmd/loopback/main.go
@@ -18,6 +18,7 @@
 
 	"swiftledge/internal/loopback"
 	"swiftledge/internal/status"
+	"swiftledge/wire"
 )
 
 func main() {
@@ -70,7 +71,7 @@
 func clusterCommand(o *options) *cobra.Command {
 	return &cobra.Command{
 		Use:   "cluster",
-		Short: "Run three controllers and twenty workers; `surge`, `load`, `kill`, `start` and `quit` are read from standard input",
+		Short: "Run three controllers and twenty workers; `surge`, `load`, `status`, `kill`, `start`, `pause`, `resume`, `mistaken`, `cancel` and `quit` are read from standard input",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			c, dir, err := o.start(cmd.Context())
@@ -90,9 +91,10 @@
 	s := loopback.DefaultSurge()
 	surges := make(chan struct{}, 1)
 	go s.Endless(ctx, c, surges)
+	var operator operator
 	lines := bufio.NewScanner(in)
 	for lines.Scan() {
-		switch strings.TrimSpace(lines.Text()) {
+		switch line := strings.TrimSpace(lines.Text()); line {
 		case "surge":
 			surges <- struct{}{}
 			fmt.Fprintln(out, "one team submits ten times its usual volume for", s.Lasts)
@@ -119,7 +121,11 @@
 		case "quit":
 			return nil
 		default:
-			fmt.Fprintln(out, "surge, load, status, kill, start or quit")
+			if known, err := operator.obey(c, line, out); err != nil {
+				return err
+			} else if !known {
+				fmt.Fprintln(out, "surge, load, status, kill, start, pause, resume, mistaken, cancel or quit")
+			}
 		}
 	}
 	return lines.Err()
@@ -188,3 +194,54 @@
 		fmt.Fprintf(w, "%s: %d of %d jobs begun, after %.1f s (median), %.1f s (most)\n", t.Team, t.Begun, t.Jobs, t.MedianS, t.MostS)
 	}
 }
+
+// operator is what was done to the cluster and can be undone.
+type operator struct {
+	paused   *loopback.Controller
+	mistaken []string
+}
+
+// mistakenJobs is where the references of mistaken jobs begin: above those of the steady load.
+const mistakenJobs = 900001
+
+// obey carries out the commands that stop and resume a controller and that submit and cancel mistaken jobs. It says
+// whether it knows the command.
+func (o *operator) obey(c *loopback.Cluster, line string, out io.Writer) (known bool, err error) {
+	switch line {
+	case "pause":
+		k, _ := c.Leader()
+		if k == nil || o.paused != nil {
+			fmt.Fprintln(out, "nobody leads, or one stands still already")
+			return true, nil
+		}
+		o.paused = k
+		fmt.Fprintln(out, k.Name, "has led and stands still; `resume` lets it go on")
+		return true, k.Pause()
+	case "resume":
+		if o.paused == nil {
+			fmt.Fprintln(out, "none stands still")
+			return true, nil
+		}
+		k := o.paused
+		o.paused = nil
+		return true, k.Resume()
+	case "mistaken":
+		ref := fmt.Sprintf("j-%06d", mistakenJobs+len(o.mistaken))
+		o.mistaken = append(o.mistaken, ref)
+		j := wire.Job{Ref: ref, Class: "results", Team: loopback.DefaultShape().Teams[0], Shape: wire.Batch, Priority: wire.Standard, Tasks: 12,
+			CPUs: 0.5, MemoryGB: 0.5, Image: "img-mistaken", ImageGB: 1, Spot: true, EstimateS: 20}
+		if err := c.SubmitMistaken(c.Controllers[0], j); err != nil {
+			fmt.Fprintln(out, err)
+			return true, nil
+		}
+		fmt.Fprintln(out, ref, "is accepted; its tasks fail on every machine")
+		return true, nil
+	case "cancel":
+		for _, ref := range o.mistaken {
+			fmt.Fprintln(out, ref, "cancelled:", c.Cancel(c.Controllers[0], ref))
+		}
+		o.mistaken = nil
+		return true, nil
+	}
+	return false, nil
+}
--- a/internal/loopback/cluster.go
+++ b/internal/loopback/cluster.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
@@ -273,6 +274,19 @@
 	}
 }
 
+// Pause has a controller's process stand still while its clocks go on, until Resume.
+func (k *Controller) Pause() error { return k.signal(syscall.SIGSTOP) }
+
+// Resume lets a process go on that stands still.
+func (k *Controller) Resume() error { return k.signal(syscall.SIGCONT) }
+
+func (k *Controller) signal(s syscall.Signal) error {
+	if err := k.cmd.Process.Signal(s); err != nil {
+		return fmt.Errorf("loopback: %s: %w", k.Name, err)
+	}
+	return nil
+}
+
 // CPUSeconds is the processor time that the process has used.
 func (k *Controller) CPUSeconds() float64 {
 	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", k.cmd.Process.Pid))
@@ -323,9 +337,19 @@
 // Submit submits a job at a controller, as its user; runS is how long its tasks really run. The first
 // submission's time counts.
 func (c *Cluster) Submit(k *Controller, j wire.Job, runS float64) error {
+	return c.submit(k, j, jobRun{runS: runS})
+}
+
+// SubmitMistaken submits a job whose tasks fail on every machine.
+func (c *Cluster) SubmitMistaken(k *Controller, j wire.Job) error {
+	return c.submit(k, j, jobRun{mistaken: true})
+}
+
+func (c *Cluster) submit(k *Controller, j wire.Job, run jobRun) error {
 	c.site.do(func() {
 		if c.site.jobs[j.Ref] == nil {
-			c.site.jobs[j.Ref] = &jobRun{spec: j, runS: runS, submitted: c.site.clock.Now(), ran: map[int]int{}}
+			run.spec, run.submitted, run.ran = j, c.site.clock.Now(), map[int]int{}
+			c.site.jobs[j.Ref] = &run
 		}
 	})
 	raw, err := json.Marshal(j)
@@ -347,6 +371,12 @@
 	return nil
 }
 
+// Cancel cancels a job at a controller; false without its answer.
+func (c *Cluster) Cancel(k *Controller, ref string) bool {
+	code, _, err := c.client.Post(nil, "http://"+k.Serves+"/api/jobs/"+ref+"/abort", nil)
+	return err == nil && code == 200
+}
+
 // State asks a controller for a job's state; "" without an answer.
 func (c *Cluster) State(k *Controller, ref string) string {
 	code, body, err := c.client.GetTimeout(nil, "http://"+k.Serves+"/api/jobs/"+ref, 2*time.Second)
--- a/internal/loopback/loopback_test.go
+++ b/internal/loopback/loopback_test.go
@@ -243,3 +243,50 @@
 		t.Error("nothing comes over a healed link")
 	}
 }
+
+// A controller that is stopped and resumed tells of its pause, a mistaken job is shown as suspect and then cancelled,
+// and sound work is done beside both.
+func TestPausedControllerAndMistakenJob(t *testing.T) {
+	dir := t.TempDir()
+	file := filepath.Join(dir, "kept.yaml")
+	if err := os.WriteFile(file, []byte("fleet: {reserve: 10, idle_s: 3600}\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c, err := Start(t.Context(), dir, controllerBinary(t), DefaultShape(), file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Stop()
+	eventually(t, "somebody leads", func() bool { k, _ := c.Leader(); return k != nil })
+	mistaken := wire.Job{Ref: "j-900001", Class: "l", Team: c.site.shape.Teams[0], Shape: wire.Batch, Priority: wire.Standard, Tasks: 12,
+		CPUs: 0.5, MemoryGB: 0.5, Image: "img-9", ImageGB: 1, Spot: true, EstimateS: 10}
+	eventually(t, "the mistaken job is accepted", func() bool { return c.SubmitMistaken(c.Controllers[0], mistaken) == nil })
+	eventually(t, "the mistaken job is suspect", func() bool {
+		_, s := c.Leader()
+		return len(s.Suspects) == 1 && s.Suspects[0].Job == mistaken.Ref
+	})
+	refs := submitAll(t, c, 1, 4, 2, 1)
+	allDone(t, c, refs, 2)
+	leader, _ := c.Leader()
+	if leader == nil {
+		t.Fatal("nobody leads")
+	}
+	if err := leader.Pause(); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "another leads", func() bool { k, _ := c.Leader(); return k != nil && k != leader })
+	if err := leader.Resume(); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the pause is told", func() bool {
+		for _, row := range c.Status() {
+			if row.Name == leader.Name && row.Status != nil && row.Status.LastPause != nil {
+				return row.Status.LastPause.LengthS > 0
+			}
+		}
+		return false
+	})
+	eventually(t, "the mistaken job is cancelled", func() bool { return c.Cancel(c.Controllers[0], mistaken.Ref) })
+	refs = submitAll(t, c, 20, 4, 2, 1)
+	allDone(t, c, refs, 2)
+}
--- a/internal/loopback/site.go
+++ b/internal/loopback/site.go
@@ -63,6 +63,7 @@
 type jobRun struct {
 	spec      wire.Job
 	runS      float64 // how long its tasks really run
+	mistaken  bool    // its tasks fail on every machine
 	submitted clock.Micros
 	began     clock.Micros // when its first task had its image; 0: not yet
 	ran       map[int]int  // by task: how often it completed
--- a/internal/loopback/worker.go
+++ b/internal/loopback/worker.go
@@ -46,6 +46,7 @@
 			return j.spec, true
 		},
 		RunS:      func(j *wire.Job, _ int) float64 { return s.jobs[j.Ref].runS },
+		Fails:     func(j *wire.Job, _ int) bool { return s.jobs[j.Ref].mistaken },
 		Ordered:   func(*standin.Task) {},
 		Restarted: func(*standin.Task) {},
 		Started: func(t *standin.Task) {
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -26,8 +26,8 @@
 	NoReport int // how many of the next machines come up and never report
 	// BootFactor makes the next machines boot in so many times the usual time; 0: in the usual time.
 	BootFactor float64
-	Machines map[string]*Rented
-	Order    []*Rented // all of them, in the order of creation, which is that of their names
+	Machines   map[string]*Rented
+	Order      []*Rented // all of them, in the order of creation, which is that of their names
 
 	requests map[string][]string
 	n        int
