--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -210,7 +210,6 @@
 // block are silent.
 func (l *Leader) whyDoomed(now clock.Micros, m *machine, alone bool) string {
 	lag := clock.FromSeconds(l.cfg.Facts.Cloud.ListLagS)
-	late := clock.FromSeconds(m.opt.Type.BootS*l.cfg.Tuning.Fleet.LateFactor) + lag
 	switch {
 	case m.failed:
 		return "failed"
@@ -218,12 +217,22 @@
 		return "no longer listed"
 	case m.state.Silent && (m.state.Notice || alone):
 		return "silent"
-	case !m.up && (m.booting || m.listed == 0) && m.block.state == granted && now-m.born > late && now-l.began > late/2:
-		return neverCameUp
-	case !m.up && m.running > 0 && m.block.state == granted && now-max(m.running, l.began) > l.silentBoot(late):
-		return "never reported"
 	case m.drain && m.up && m.state.Tasks == 0 && !m.block.offered:
 		return "drained"
+	case !m.up && m.block.state == granted:
+		return l.whyNotUp(now, m)
+	}
+	return ""
+}
+
+// whyNotUp says why a machine is given up whose worker was never heard; "": it may come up yet.
+func (l *Leader) whyNotUp(now clock.Micros, m *machine) string {
+	late := clock.FromSeconds(m.opt.Type.BootS*l.cfg.Tuning.Fleet.LateFactor + l.cfg.Facts.Cloud.ListLagS)
+	switch {
+	case (m.booting || m.listed == 0) && now-m.born > late && now-l.began > late/2:
+		return neverCameUp
+	case m.running > 0 && now-max(m.running, l.began) > l.silentBoot(late):
+		return "never reported"
 	}
 	return ""
 }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -11,7 +11,6 @@
 	"swiftledge/internal/block"
 	"swiftledge/internal/clock"
 	"swiftledge/internal/config"
-	"swiftledge/internal/failures"
 	"swiftledge/internal/fleet"
 	"swiftledge/internal/peer"
 	"swiftledge/internal/standstill"
@@ -33,45 +32,6 @@
 	refusedSince clock.Micros // since when the state service refuses it; 0: it does not
 }
 
-type machine struct {
-	name     string
-	rental   string
-	opt      fleet.Option
-	block    *leasedBlock
-	born     clock.Micros
-	address  string
-	up       bool
-	booting  bool // by the list
-	cordoned bool // not worth new tasks
-	rest     bool // not needed for new tasks while others have room
-	out      bool // its holder was told to leave it out
-	state    peer.MachineState
-	listed   clock.Micros // last seen in the list; 0: never
-	running  clock.Micros // since when the list says that it is up; 0: it does not
-	missing  int          // how many lists in a row lacked it
-	failed   bool         // it is listed as stopped by itself
-	idle     clock.Micros // since when it has no task
-	drain    bool
-	deleting bool
-	failures failures.Machine
-	// Room that is left while offers are made; the holder's word in state is not touched.
-	cpus, gpus, mem float64
-}
-
-type rental struct {
-	key    string
-	stamp  uint64
-	record FleetRecord
-	busy   bool // a write or a request is under way
-	asked  clock.Micros
-	since  clock.Micros // when it was first wanted here
-	// when machines that are gone were last taken out of its record
-	prunedAt clock.Micros
-}
-
-// refusal is how long an option is left alone that the cloud had too little of.
-type refusal struct{ until, wait clock.Micros }
-
 // Leader is the actor's state.
 type Leader struct {
 	settings
@@ -219,18 +179,6 @@
 	return l.fx
 }
 
-// paused tells that this controller stood still, and what of its leadership ran out meanwhile.
-func (l *Leader) paused(began, now clock.Micros) {
-	p := standstill.Pause{Began: began, Ended: now}
-	if l.leading && l.until > began && !l.authorised(now) {
-		p.Expired = append(p.Expired, fmt.Sprintf("authority of epoch %d", l.epoch))
-	}
-	if l.leading && l.loaded && !l.current(now) {
-		p.Expired = append(p.Expired, "view of the jobs")
-	}
-	l.emit(Paused{p})
-}
-
 // authorised is asked at the moment of acting: a process that was short of
 // processor time may wake after its authority has ended.
 func (l *Leader) authorised(now clock.Micros) bool { return l.leading && now < l.until }
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -6,10 +6,38 @@
 	"strings"
 
 	"swiftledge/internal/clock"
+	"swiftledge/internal/failures"
+	"swiftledge/internal/fleet"
 	"swiftledge/internal/peer"
 	"swiftledge/wire"
 )
 
+// machine is one of the roster, as the cloud and its holder see it.
+type machine struct {
+	name     string
+	rental   string
+	opt      fleet.Option
+	block    *leasedBlock
+	born     clock.Micros
+	address  string
+	up       bool
+	booting  bool // by the list
+	cordoned bool // not worth new tasks
+	rest     bool // not needed for new tasks while others have room
+	out      bool // its holder was told to leave it out
+	state    peer.MachineState
+	listed   clock.Micros // last seen in the list; 0: never
+	running  clock.Micros // since when the list says that it is up; 0: it does not
+	missing  int          // how many lists in a row lacked it
+	failed   bool         // it is listed as stopped by itself
+	idle     clock.Micros // since when it has no task
+	drain    bool
+	deleting bool
+	failures failures.Machine
+	// Room that is left while offers are made; the holder's word in state is not touched.
+	cpus, gpus, mem float64
+}
+
 func (l *Leader) addMachine(now clock.Micros, name string, rt *rental) {
 	if l.machines[name] != nil {
 		return
--- /dev/null
+++ b/internal/leader/pauses.go
@@ -0,0 +1,20 @@
+package leader
+
+import (
+	"fmt"
+
+	"swiftledge/internal/clock"
+	"swiftledge/internal/standstill"
+)
+
+// paused tells that this controller stood still, and what of its leadership ran out meanwhile.
+func (l *Leader) paused(began, now clock.Micros) {
+	p := standstill.Pause{Began: began, Ended: now}
+	if l.leading && l.until > began && !l.authorised(now) {
+		p.Expired = append(p.Expired, fmt.Sprintf("authority of epoch %d", l.epoch))
+	}
+	if l.leading && l.loaded && !l.current(now) {
+		p.Expired = append(p.Expired, "view of the jobs")
+	}
+	l.emit(Paused{p})
+}
--- a/internal/leader/rentals.go
+++ b/internal/leader/rentals.go
@@ -9,6 +9,21 @@
 	"swiftledge/wire"
 )
 
+// rental is a request to the cloud, and the record of what it brought.
+type rental struct {
+	key    string
+	stamp  uint64
+	record FleetRecord
+	busy   bool // a write or a request is under way
+	asked  clock.Micros
+	since  clock.Micros // when it was first wanted here
+	// when machines that are gone were last taken out of its record
+	prunedAt clock.Micros
+}
+
+// refusal is how long an option is left alone that the cloud had too little of.
+type refusal struct{ until, wait clock.Micros }
+
 type fleetTag struct{ key string }
 
 func (l *Leader) loadRental(now clock.Micros, it wire.Item, r FleetRecord) {
