--- a/internal/leader/preempt.go
+++ b/internal/leader/preempt.go
@@ -31,6 +31,7 @@
 	held     *grantedTask
 	memory   float64
 	rank     int
+	ran      float64 // so far, in seconds
 	endsSoon bool
 	cost     float64 // of the work that is lost; less for work of low priority
 }
@@ -54,6 +55,8 @@
 type preemption struct {
 	l       *Leader
 	now     clock.Micros
+	urgent  bool               // production work waits
+	long    map[string]float64 // by job that runs for long: the boot time of its machines
 	spaces  []*space
 	leaving uses
 	stopped int
@@ -65,17 +68,26 @@
 	if now-l.lastPreempt < preemptEvery {
 		return
 	}
-	var p *preemption
+	p := &preemption{l: l, now: now}
+	waiting := false
 	for _, t := range teams {
 		for _, j := range t.entitled {
-			if j.nWant == 0 {
-				continue
-			}
-			if p == nil {
-				l.lastPreempt = now
-				p = &preemption{l: l, now: now}
-				p.survey()
+			if j.nWant > 0 {
+				waiting = true
+				p.urgent = p.urgent || wire.Rank(j.record.Spec.Priority) == wire.Rank(wire.Production)
 			}
+		}
+	}
+	if !waiting {
+		return
+	}
+	l.lastPreempt = now
+	if p.findLong(); !p.urgent && len(p.long) == 0 {
+		return
+	}
+	p.survey()
+	for _, t := range teams {
+		for _, j := range t.entitled {
 			if p.makeRoom(t, j); p.stopped > mostPreempted {
 				return
 			}
@@ -83,6 +95,20 @@
 	}
 }
 
+// findLong finds the jobs whose tasks have long to go after their start: only these are stopped for anything but
+// production work.
+func (p *preemption) findLong() {
+	p.long = map[string]float64{}
+	for ref, j := range p.l.jobs {
+		if len(j.out) == 0 || wire.Rank(j.record.Spec.Priority) == wire.Rank(wire.Production) {
+			continue
+		}
+		if boot := p.l.bootTime(&j.record.Spec); j.record.Spec.Standing() || p.l.remaining(j) > bootsWaited*boot {
+			p.long[ref] = boot
+		}
+	}
+}
+
 // entitled says whether tasks of the job may ever stop others.
 func (l *Leader) entitled(t *teamQueue, j *job) bool {
 	if j.failures.Suspect() {
@@ -103,7 +129,6 @@
 func (p *preemption) survey() {
 	l, on := p.l, map[string]*space{}
 	p.leaving = uses{}
-	boots := map[*job]float64{}
 	for _, m := range l.machines {
 		if m.serves() {
 			on[m.name] = &space{machine: m, cpus: m.state.CPUs, memory: m.state.Memory}
@@ -115,6 +140,10 @@
 			if leaves {
 				p.leaving.add(h.team, h.cpus, h.gpus)
 			}
+			boot, long := p.long[t.Job]
+			if !long && !p.urgent && !leaves {
+				continue
+			}
 			at, j := on[h.machine], l.jobs[t.Job]
 			if at == nil || j == nil {
 				continue
@@ -123,10 +152,9 @@
 				at.cpus += h.cpus
 				at.memory += j.record.Spec.MemoryGB
 			}
-			if _, ok := boots[j]; !ok {
-				boots[j] = l.bootTime(&j.record.Spec)
-			}
-			if v := l.victim(p.now, t, h, j, boots[j]); h.stopped == "" && v.rank > wire.Rank(wire.Production) {
+			v := l.victim(p.now, t, h, j)
+			v.endsSoon = !long || !j.record.Spec.Standing() && l.remaining(j)-v.ran < bootsWaited*boot
+			if h.stopped == "" && (p.urgent || !v.endsSoon) && v.rank > wire.Rank(wire.Production) {
 				at.victims = append(at.victims, v)
 			}
 		}
@@ -134,6 +162,9 @@
 	p.spaces = make([]*space, 0, len(on))
 	for _, name := range slices.Sorted(maps.Keys(on)) {
 		at := on[name]
+		if len(at.victims) == 0 && !p.urgent {
+			continue // what fits there needs nobody stopped
+		}
 		slices.SortFunc(at.victims, func(a, b victim) int {
 			return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.task.Job, b.task.Job), cmp.Compare(a.task.Index, b.task.Index))
 		})
@@ -142,7 +173,7 @@
 }
 
 // victim weighs a task that may be stopped. What it saved by itself at its last interval is not lost.
-func (l *Leader) victim(now clock.Micros, t peer.Task, h *grantedTask, j *job, boot float64) victim {
+func (l *Leader) victim(now clock.Micros, t peer.Task, h *grantedTask, j *job) victim {
 	s := &j.record.Spec
 	rank, ran := wire.Rank(s.Priority), 0.0
 	if h.running {
@@ -152,7 +183,7 @@
 	if s.CheckpointS > 0 {
 		lost = math.Mod(ran, s.CheckpointS)
 	}
-	return victim{task: t, held: h, memory: s.MemoryGB, rank: rank, endsSoon: !s.Standing() && l.remaining(j)-ran < bootsWaited*boot,
+	return victim{task: t, held: h, memory: s.MemoryGB, rank: rank, ran: ran,
 		cost: h.cpus * (lost + placementS) / float64(max(rank, 1))}
 }
 
@@ -161,7 +192,7 @@
 	s := &j.record.Spec
 	zones := p.l.zones(j)
 	standing := t.standing
-	for n := j.nWant; n > 0; n-- {
+	for n := min(j.nWant, mostPreempted); n > 0; n-- {
 		if !t.mayStand(s, standing, p.l.cfg.Tuning.Queues.LeastShare) {
 			return
 		}
