--- a/internal/leader/preempt.go
+++ b/internal/leader/preempt.go
@@ -33,6 +33,7 @@
 	rank     int
 	ran      float64 // so far, in seconds
 	endsSoon bool
+	saves    bool // its progress, at intervals
 	cost     float64 // of the work that is lost; less for work of low priority
 }
 
@@ -183,7 +184,7 @@
 	if s.CheckpointS > 0 {
 		lost = math.Mod(ran, s.CheckpointS)
 	}
-	return victim{task: t, held: h, memory: s.MemoryGB, rank: rank, ran: ran,
+	return victim{task: t, held: h, memory: s.MemoryGB, rank: rank, ran: ran, saves: s.CheckpointS > 0,
 		cost: h.cpus * (lost + placementS) / float64(max(rank, 1))}
 }
 
@@ -222,8 +223,9 @@
 	return c, c.guarantee || c.rank <= wire.Rank(wire.High)
 }
 
-// mayStop says whether a task may be stopped for a claim. Production work stops whatever is less important;
-// anything else only what runs for long on borrowed capacity.
+// mayStop says whether a task may be stopped for a claim. Production work stops whatever is less important. Anything
+// else only stops what runs for long on borrowed capacity and is less important, or for a guarantee as important and
+// saves its progress: work that is as important is not done twice for it, though the protocol would allow it.
 func (p *preemption) mayStop(c claim, v *victim) bool {
 	switch {
 	case c.own && v.held.team != c.team:
@@ -233,7 +235,7 @@
 	case v.endsSoon || !p.borrowed(v.held):
 		return false
 	}
-	return c.rank < v.rank || c.guarantee && v.held.team != c.team
+	return c.rank < v.rank || c.guarantee && c.rank == v.rank && v.saves && v.held.team != c.team
 }
 
 // borrowed says whether a task's team keeps its guarantee without it.
