--- a/internal/leader/preempt.go
+++ b/internal/leader/preempt.go
@@ -33,7 +33,7 @@
 	rank     int
 	ran      float64 // so far, in seconds
 	endsSoon bool
-	saves    bool // its progress, at intervals
+	saves    bool    // its progress, at intervals
 	cost     float64 // of the work that is lost; less for work of low priority
 }
 
