--- /dev/null
+++ b/internal/block/cycle_test.go
@@ -0,0 +1,206 @@
+package block
+
+import (
+	"strconv"
+	"testing"
+
+	"swiftledge/internal/peer"
+	"swiftledge/internal/store"
+	"swiftledge/wire"
+)
+
+// A cycle costs one put whatever the number of its tasks, and what is written over a
+// page keeps all records that are not proven gone.
+func TestCycleWritesOnePage(t *testing.T) {
+	h := holding(t)
+	h.Step(now, beat("m1", 1, 50))
+	h.Step(now, beat("m2", 1, 50, running(2)))
+	offer := func(seq uint64, ref string, n int) Record {
+		t.Helper()
+		o := peer.Offer{Job: wire.Job{Ref: ref, Team: "red", CPUs: 0.01, Image: "img"}}
+		for i := range n {
+			o.Indexes = append(o.Indexes, i)
+		}
+		for _, e := range h.Step(now, &peer.Down{Epoch: 9, Orders: []peer.BlockOrders{{Block: 0, Token: 50, Seq: seq, Offers: []peer.Offer{o}}}}) {
+			if r, ok := e.(Record); ok {
+				return r
+			}
+		}
+		t.Fatal("no start records are written")
+		return Record{}
+	}
+	first := offer(1, "j-000007", 60)
+	if len(first.Pages) != 1 || first.Pages[0].Version != 0 {
+		t.Fatalf("%d pages for one cycle, want one that is new", len(first.Pages))
+	}
+	h.Step(now, first.Settled(store.Outcome{OK: true, Revision: 33}))
+	second := offer(2, "j-000008", 20)
+	if len(second.Pages) != 1 || second.Pages[0].Key != first.Pages[0].Key || second.Pages[0].Version != 33 {
+		t.Fatalf("second cycle writes %+v, want the first one's page again, guarded on its version", second.Pages)
+	}
+	n := 0
+	for i := range second.Pages[0].Page.Groups {
+		rs, err := second.Pages[0].Page.Records(&second.Pages[0].Page.Groups[i])
+		if err != nil {
+			t.Fatal(err)
+		}
+		n += len(rs)
+	}
+	if n != 80 {
+		t.Errorf("the page holds %d records, want 80", n)
+	}
+	txn, err := second.Txn()
+	if err != nil || len(txn.Then) != 1 || len(txn.Then[0].Value) > h.p.ValueBytes {
+		t.Errorf("transaction of %d puts, %v", len(txn.Then), err)
+	}
+	// No answer: a copy may be carried out yet, so the page is not written again.
+	h.Step(now, second.Settled(store.Outcome{Unsure: true}))
+	if third := offer(3, "j-000009", 5); third.Pages[0].Key == second.Pages[0].Key {
+		t.Error("writes over a page whose last write is uncertain")
+	}
+}
+
+// Pages that are full must not take the place of new ones in a transaction: with as
+// many of them as it holds, nothing could start until some task ended.
+func TestFullPagesDoNotHoldBackStarts(t *testing.T) {
+	h := holding(t)
+	h.Step(now, &peer.Down{Epoch: 9, Types: []wire.MachineType{{Name: "small", CPUs: 4000, MemoryGB: 8000}}})
+	h.Step(now, beat("m1", 1, 50))
+	job := 100000
+	for seq := uint64(1); seq <= 15; seq++ {
+		job++
+		idx := make([]int, 250)
+		for i := range idx {
+			idx[i] = i
+		}
+		fx := h.Step(now, &peer.Down{Epoch: 9, Orders: []peer.BlockOrders{{Block: 0, Token: 50, Seq: seq,
+			Offers: []peer.Offer{{Job: wire.Job{Ref: "j-" + strconv.Itoa(job), Team: "red", CPUs: 1, Spot: true, Tasks: 250}, Indexes: idx}}}}})
+		started := 0
+		for _, e := range fx {
+			r, ok := e.(Record)
+			if !ok {
+				continue
+			}
+			txn, err := r.Txn()
+			if err != nil || len(txn.Then) > h.p.TxnOps {
+				t.Fatalf("cycle %d: %d puts in a transaction, %v", seq, len(txn.Then), err)
+			}
+			started = len(h.blocks[0].writing.recs)
+			h.Step(now, r.Settled(store.Outcome{OK: true, Revision: 30 + seq}))
+		}
+		if started != 250 {
+			t.Fatalf("cycle %d starts %d of 250 tasks, with %d pages in use", seq, started, len(h.blocks[0].pages))
+		}
+	}
+}
+
+// A replica that stands must not keep a page full of records of what is over: they would
+// count in full at each takeover and be sent with each grant.
+func TestPagesOfStandingTasksAreCompacted(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		outcome store.Outcome
+		erased  int
+	}{
+		{"answered", store.Outcome{OK: true, Revision: 40}, 1},
+		{"no answer", store.Outcome{Unsure: true}, 3},
+	} {
+		h := holding(t)
+		h.Step(now, Linked{Epoch: 10})
+		pages := map[string]peer.RecordPage{}
+		var run []wire.TaskReport
+		for p := range 2 {
+			g := peer.RecordGroup{Job: task.Job, Team: "red", CPUs: 0.01}
+			for i := range 30 {
+				g.Starts = append(g.Starts, 100*p+i, 100*p+i+1, 0)
+			}
+			pages["run/000/1-"+strconv.Itoa(p)] = peer.RecordPage{Token: 40, Machines: []string{"m1"}, Groups: []peer.RecordGroup{g}}
+			run = append(run, wire.TaskReport{Task: TaskName(peer.Task{Job: task.Job, Index: 100 * p}), Attempt: 40<<peer.AttemptBits | uint64(100*p+1), State: wire.Running})
+		}
+		h.Step(now, &peer.Down{Epoch: 10, Grants: []peer.Grant{{Block: 0, Token: 60, Stamp: 8, Machines: []peer.RosterMachine{{Name: "m1", Address: "a1"}}, Pages: pages}}})
+		h.Step(now, &peer.Down{Epoch: 10, Renewed: h.renew, Tokens: map[int]uint64{0: 60}})
+		h.Step(later(10), beat("m1", 1, 60, run...))
+		var got *Compact
+		for _, e := range h.Step(later(11), Tick{}) {
+			if x, ok := e.(Compact); ok {
+				got = &x
+			}
+		}
+		if got == nil {
+			t.Fatalf("%s: nothing is compacted", c.name)
+		}
+		txn, err := got.Txn()
+		if err != nil || len(txn.Then) != 3 || txn.If[0] != (wire.Guard{Key: Key(0), Version: 8}) || txn.If[1] != (wire.Guard{Key: got.Put.Key}) {
+			t.Fatalf("%s: transaction %+v, %v", c.name, txn, err)
+		}
+		records, err := got.Put.Page.Records(&got.Put.Page.Groups[0])
+		if err != nil || len(records) != 2 || records[0].Attempt != run[0].Attempt || records[1].Attempt != run[1].Attempt {
+			t.Fatalf("%s: the new page names %+v, want what runs", c.name, records)
+		}
+		h.Step(later(12), got.Settled(c.outcome))
+		// Both end: whatever may hold their records is erased.
+		for i := range run {
+			run[i].State, run[i].Cause = wire.Exited, wire.CauseStopped
+		}
+		h.Step(later(13), beat("m1", 2, 60, run...))
+		keys := map[string]bool{}
+		for i := range 60 {
+			for _, e := range h.Step(later(20+10*i), Tick{}) {
+				if x, ok := e.(Erase); ok {
+					for _, k := range x.Keys {
+						keys[k] = true
+					}
+				}
+			}
+			h.Step(later(20+10*i), &peer.Down{Epoch: 10, Renewed: h.renew, Tokens: map[int]uint64{0: 60}})
+		}
+		if !keys[got.Put.Key] || len(keys) != c.erased {
+			t.Errorf("%s: erased %v, want %d keys", c.name, keys, c.erased)
+		}
+	}
+}
+
+// What the state service refuses for its size is tried in smaller pieces, not for ever.
+func TestTooLargeWritesGetSmaller(t *testing.T) {
+	h := holding(t)
+	h.Step(now, beat("m1", 1, 50))
+	fx := h.Step(now, &peer.Down{Epoch: 9, Orders: []peer.BlockOrders{{Block: 0, Token: 50, Seq: 1,
+		Offers: []peer.Offer{{Job: wire.Job{Ref: "j-000009", Team: "red", CPUs: 1, Spot: true, Tasks: 1}, Indexes: []int{0}}}}}})
+	was := h.p
+	for _, e := range fx {
+		if r, ok := e.(Record); ok {
+			h.Step(now, r.Settled(store.Outcome{Malformed: true}))
+		}
+	}
+	if h.p.ValueBytes != was.ValueBytes/2 || h.p.TxnOps != was.TxnOps/2 {
+		t.Errorf("values of %d bytes and %d operations after a refusal, were %d and %d", h.p.ValueBytes, h.p.TxnOps, was.ValueBytes, was.TxnOps)
+	}
+}
+
+// A replica goes to a machine that has none of its service, and rather to one that has than
+// to one where another failed.
+func TestReplicasAvoidMachines(t *testing.T) {
+	h := holding(t)
+	failed := wire.TaskReport{Task: TaskName(task), Attempt: 1, State: wire.Exited, Cause: wire.CauseError}
+	h.Step(now, beat("m1", 1, 50, failed))
+	h.Step(now, beat("m2", 1, 50, running(2)))
+	where := func(seq uint64, index int) string {
+		for _, e := range h.Step(now, &peer.Down{Epoch: 9, Orders: []peer.BlockOrders{{Block: 0, Token: 50, Seq: seq,
+			Offers: []peer.Offer{{Job: wire.Job{Ref: task.Job, Shape: wire.Service, Team: "red", CPUs: 1, Tasks: 9}, Indexes: []int{index}}}}}}) {
+			if r, ok := e.(Record); ok {
+				at := h.blocks[0].writing.recs[0].m.name
+				h.Step(now, r.Settled(store.Outcome{OK: true, Revision: 30 + seq}))
+				return at
+			}
+		}
+		return ""
+	}
+	if m := where(1, 4); m != "m2" {
+		t.Errorf("a replica goes to %q, where one failed, want m2", m)
+	}
+	h.Step(now, &peer.Down{Epoch: 9, Orders: []peer.BlockOrders{{Block: 0, Token: 50, Use: []string{"m3"}}}})
+	h.Step(now, beat("m3", 1, 50))
+	if m := where(2, 5); m != "m3" {
+		t.Errorf("a replica goes to %q, want m3, which has none", m)
+	}
+}
--- /dev/null
+++ b/internal/block/tokens_test.go
@@ -0,0 +1,151 @@
+package block
+
+import (
+	"testing"
+
+	"swiftledge/internal/clock"
+	"swiftledge/internal/peer"
+	"swiftledge/wire"
+)
+
+// A new holder shows its token to the machines at once: an older holder that is
+// cut off may answer their reports until its grant ends.
+func TestFencesByItself(t *testing.T) {
+	h := holding(t)
+	r := beat("m1", 1, 49, running(1)).R
+	fx := h.Step(now, Inspected{Inspect: Inspect{Block: 0, Token: 50, Machine: "m1"}, R: r})
+	sent := false
+	for _, e := range fx {
+		if o, ok := e.(Orders); ok && o.Body.Token == 50 && o.Body.Session == 1 && len(o.Body.Commands) == 0 {
+			sent = true
+		}
+	}
+	if !sent {
+		t.Fatalf("effects %+v, want our token sent to m1", fx)
+	}
+	after := beat("m1", 2, 50, running(1)).R
+	h.Step(now, Ordered{Orders: Orders{Block: 0, Machine: "m1", Body: wire.Orders{Token: 50, Session: 1}}, Status: 200, R: after})
+	if !h.blocks[0].machines["m1"].shown {
+		t.Error("m1 is not taken as fenced after it showed our token")
+	}
+	if h.Step(now, Inspected{Inspect: Inspect{Block: 0, Token: 50, Machine: "m2"}, R: beat("m2", 1, 51).R}); h.blocks[0] != nil {
+		t.Error("keeps a block whose machine shows a newer token")
+	}
+}
+
+// A run order may come once more, late: what it started and what was stopped stays
+// listed until the machine has shown a higher token, which refuses the copy.
+func TestStoppedTaskStaysListedUntilItsOrderIsRefused(t *testing.T) {
+	h := holding(t)
+	h.Step(now, beat("m1", 1, 50))
+	b := h.blocks[0]
+	attempt := uint64(50<<peer.AttemptBits | 1)
+	other := peer.Task{Job: "j-000002"}
+	b.add(&taskAttempt{task: other, attempt: attempt, m: b.machines["m1"], group: &peer.RecordGroup{Job: other.Job}, state: ordered, session: 1, direct: true, stop: 2})
+	exit := wire.TaskReport{Task: TaskName(other), Attempt: attempt, State: wire.Exited, Cause: wire.CauseStopped}
+	if a := answerOf(t, h.Step(now, beat("m1", 2, 50, exit))); len(a.Body.Commands) != 0 {
+		t.Errorf("commands %v while a copy of its order would be obeyed", a.Body.Commands)
+	}
+	h.Step(now, &peer.Down{Epoch: 9, Grants: []peer.Grant{{Block: 0, Token: 60, Stamp: 8, Machines: []peer.RosterMachine{{Name: "m1", Address: "a1"}}}}})
+	h.Step(now, &peer.Down{Epoch: 9, Renewed: h.renew, Tokens: map[int]uint64{0: 60}})
+	if a := answerOf(t, h.Step(now, beat("m1", 3, 60, exit))); len(a.Body.Commands) != 1 || a.Body.Commands[0].Op != wire.Forget {
+		t.Errorf("commands %v under the higher token, want forget", a.Body.Commands)
+	}
+}
+
+// A block with many of these asks for a higher token by itself.
+func TestAsksForAHigherToken(t *testing.T) {
+	h := holding(t)
+	b := h.blocks[0]
+	for i := range leastLingering + 1 {
+		b.add(&taskAttempt{task: peer.Task{Job: "j-000002", Index: i}, attempt: 50<<peer.AttemptBits | uint64(i+1), m: b.machines["m1"],
+			group: &peer.RecordGroup{Job: "j-000002"}, state: exited, direct: true, told: true, stored: true})
+	}
+	asked := 0
+	for i := range 2 {
+		for _, e := range h.Step(later(i), Tick{}) {
+			if s, ok := e.(Send); ok {
+				for _, u := range s.Up.Updates {
+					if u.Lost && u.Token == 50 {
+						asked++
+					}
+				}
+			}
+		}
+	}
+	if asked != 1 || h.blocks[0] == nil {
+		t.Errorf("asked %d times, want once, with the block kept until then", asked)
+	}
+}
+
+// A machine that has not shown our token yet proves nothing, but a 200 renews its lease: the
+// answer ends the tasks of cancelled jobs, or they would go on for a lease more.
+func TestAnswerToAnUnfencedMachineEndsCancelledTasks(t *testing.T) {
+	h := holding(t)
+	h.Step(now, &peer.Down{Epoch: 9, Orders: []peer.BlockOrders{{Block: 0, Token: 50, Stop: []peer.StopTask{{Task: task}}}}})
+	a := answerOf(t, h.Step(now, beat("m1", 1, 41, wire.TaskReport{Task: TaskName(task), Attempt: 1, State: wire.Running})))
+	if len(a.Body.Commands) != 1 || a.Body.Commands[0].Op != wire.Kill || a.Body.Commands[0].Attempt != 1 {
+		t.Errorf("status %d with %+v, want the task ended", a.Status, a.Body.Commands)
+	}
+	if len(h.blocks[0].machines["m1"].recs) != 1 {
+		t.Error("taken for gone before the machine has shown the token")
+	}
+}
+
+// A task that was shown and is listed no more within a session was lost by a worker that began anew
+// under its name. Its order may come late and start it again, as the worker has lost the token, too:
+// nothing is given back before a higher token has been shown, and that is asked for.
+func TestVanishedTaskAsksForAHigherToken(t *testing.T) {
+	h := holding(t)
+	h.Step(later(1), beat("m2", 1, 50, running(2)))
+	if ev := eventsOf(h.Step(later(2), beat("m2", 2, 50))); len(ev) != 0 {
+		t.Errorf("events %v: a late copy of the order may start it again", ev)
+	}
+	if asksForToken(h, now+h.p.Lease/2) {
+		t.Error("asked for a token sooner than a lease after the last")
+	}
+	if !asksForToken(h, now+h.p.Lease+clock.Second) {
+		t.Error("no higher token was asked for")
+	}
+}
+
+// asksForToken says whether a tick has the leader asked for a new grant.
+func asksForToken(h *Holder, at clock.Micros) bool {
+	for _, e := range h.Step(at, Tick{}) {
+		if s, ok := e.(Send); ok && len(s.Up.Updates) > 0 && s.Up.Updates[0].Lost {
+			return true
+		}
+	}
+	return false
+}
+
+// A task is told to stop, to make room, while its direct order has had no answer. The order may be
+// carried out at any time and is not sent again, so no report ever settled it and the job never ended:
+// a higher token is asked for, which refuses the order.
+func TestStoppedOrderWithoutAnAnswerAsksForAHigherToken(t *testing.T) {
+	h := holding(t)
+	h.Step(now, beat("m1", 1, 50))
+	h.Step(now, beat("m2", 1, 50, running(2)))
+	b := h.blocks[0]
+	started(t, h, later(1))
+	one := peer.Task{Job: "j-000009"}
+	m := b.byTask[one][0].m
+	rest := []wire.TaskReport{}
+	if m.name == "m2" {
+		rest = append(rest, running(2))
+	}
+	h.Step(later(2), &peer.Down{Epoch: 9, Orders: []peer.BlockOrders{{Block: 0, Token: 50, Stop: []peer.StopTask{{Task: one}}}}})
+	h.Step(later(3), beat(m.name, 2, 50, rest...))
+	if asksForToken(h, now+h.p.Lease+clock.Second) {
+		t.Error("asked for a token while the answer may come")
+	}
+	at := now + h.p.Lease + 2*clock.Second
+	h.Step(at-clock.Second, &peer.Down{Epoch: 9, Renewed: h.renew, Tokens: map[int]uint64{0: 50}})
+	h.Step(at, beat(m.name, 3, 50, rest...))
+	if len(b.byTask[one]) != 1 {
+		t.Fatal("taken for gone while its order may be carried out")
+	}
+	if !asksForToken(h, at+clock.Second) {
+		t.Error("no higher token was asked for")
+	}
+}
--- /dev/null
+++ b/internal/leader/fleet_test.go
@@ -0,0 +1,171 @@
+package leader
+
+import (
+	"fmt"
+	"testing"
+
+	"swiftledge/internal/clock"
+	"swiftledge/internal/config"
+	"swiftledge/internal/fleet"
+	"swiftledge/internal/peer"
+	"swiftledge/internal/store"
+	"swiftledge/wire"
+)
+
+// A machine that is only heard of may be a late copy's ghost: it is not taken into
+// the roster before it is listed or has shown a holder's token.
+func TestGhostIsNotAdopted(t *testing.T) {
+	l := leading(t)
+	s := peer.MachineState{Name: "host-000900", Type: "small", Zone: "a"}
+	if l.machineState(began, s); len(l.found) != 0 {
+		t.Error("a machine that no token reached counts as found")
+	}
+	s.Shown = true
+	if l.machineState(began, s); len(l.found) != 1 {
+		t.Error("a machine that has shown its holder's token is not found")
+	}
+}
+
+// What a former leader has deleted leaves the roster on its holder's word.
+func TestHolderTellsOfDeletedMachine(t *testing.T) {
+	l := leading(t)
+	l.machineState(began, peer.MachineState{Name: names[0], Gone: true})
+	if l.machines[names[0]] != nil || !l.gone[names[0]] || l.machines[names[1]] == nil {
+		t.Error("the deleted machine, and no other, must leave the books")
+	}
+}
+
+// Ordinary machines that the queue is not worth get no work, so that they can be
+// returned; while the cloud answers nothing they serve like those at rest, or all would
+// wait beside idle machines.
+func TestOrdinaryMachinesServeWhileTheCloudIsAway(t *testing.T) {
+	b := &leasedBlock{state: granted}
+	m := &machine{name: "m", block: b}
+	l := &Leader{epochState: epochState{machines: map[string]*machine{"m": m}}}
+	d := fleet.Decision{Cordon: []string{"m"}}
+	if l.rest(d, false); !m.cordoned || m.rest {
+		t.Errorf("cordoned %v, at rest %v; want cordoned", m.cordoned, m.rest)
+	}
+	if l.rest(d, true); m.cordoned || !m.rest {
+		t.Errorf("cordoned %v, at rest %v while the cloud is away; want at rest", m.cordoned, m.rest)
+	}
+}
+
+// Room for services is rented before they come: for what came lately while a machine boots,
+// and some for a class that is expected sooner than that and of which nothing is known.
+func TestRoomIsRentedAheadForServices(t *testing.T) {
+	l := leading(t)
+	l.setTypes([]wire.MachineType{{Name: "small", CPUs: 4, MemoryGB: 8, BootS: 30, ZoneNames: []string{"a"}}})
+	if l.warm() != nil {
+		t.Error("room is kept though nothing is awaited")
+	}
+	cfg := *l.cfg
+	cfg.Facts.Objectives = []config.Objective{{Kind: "wait", Class: "web", WithinS: 20}, {Kind: "wait", Class: "batch", WithinS: 4}, {Kind: "deadline", Class: "batch"}}
+	l.awaited = New(&cfg, l.storeOK).awaited
+	if l.warm() != nil {
+		t.Error("room is kept on a site where nothing runs")
+	}
+	l.use("red").cpus = 1000
+	if w := l.warm(); w == nil || w.Tasks != warmCPUs {
+		t.Errorf("room kept for an awaited class: %+v", w)
+	}
+	s := spec
+	s.Ref, s.Class, s.Shape, s.Tasks = "j-300000", "web", wire.Service, 6
+	j := l.addJob(JobRecord{Spec: s, At: began}, 3)
+	if l.warm() != nil {
+		t.Error("room is kept for a class that has come")
+	}
+	n := &needs{byKey: map[needKey]*fleet.Need{}}
+	if l.reserve(began, n); len(n.list) != 1 || n.list[0].Tasks <= 6 {
+		t.Errorf("room kept for services like one of 6 replicas that has just come: %+v, want for more than as many", n.list)
+	}
+	total := 0
+	for _, need := range l.needs(began) {
+		total += need.Tasks
+	}
+	if total <= 6+spec.Tasks {
+		t.Errorf("%d slots wanted in all", total)
+	}
+	// What must be spread over zones needs room in each.
+	l.setTypes([]wire.MachineType{{Name: "small", CPUs: 4, MemoryGB: 8, BootS: 30, ZoneNames: []string{"a", "b", "c"}}})
+	j.record.Spec.Spread = true
+	n = &needs{byKey: map[needKey]*fleet.Need{}}
+	l.needStanding(began, n, j, 6)
+	for _, need := range n.list {
+		if need.Tasks != 2 || need.Zone == "" {
+			t.Errorf("%d slots wanted in zone %q, want 2 in each of three", need.Tasks, need.Zone)
+		}
+	}
+	if len(n.list) != 3 {
+		t.Errorf("%d needs, want one for each zone", len(n.list))
+	}
+}
+
+// Roster records fit into a value: what is found is taken in pieces, and one of the time when
+// values could be larger is left alone until less is left of it.
+func TestRosterRecordsFit(t *testing.T) {
+	l := granting(t, nil)
+	l.valueBytes = 1800
+	var many []string
+	for i := range 200 {
+		name := fmt.Sprintf("host-%06d", 1000+i)
+		many = append(many, name)
+		l.found[name] = wire.Machine{Name: name, Type: "small", Zone: "a"}
+	}
+	l.fx = nil
+	l.adopt(began)
+	n := 0
+	for _, e := range l.fx {
+		if c, ok := e.(Commit); ok {
+			n++
+			if len(c.Txn.Then[0].Value) > l.valueBytes {
+				t.Errorf("a record of %d bytes", len(c.Txn.Then[0].Value))
+			}
+		}
+	}
+	if n < 2 {
+		t.Errorf("%d records for 200 machines", n)
+	}
+	rt := &rental{key: "fleet/old", stamp: 3, record: FleetRecord{Machines: many, Asked: true}}
+	l.gone[many[0]] = true
+	l.fx = nil
+	if l.pruneRental(began+clock.Minute, rt); len(l.fx) > 0 {
+		t.Error("a record that is too large is written as it is")
+	}
+	for _, name := range many[:150] {
+		l.gone[name] = true
+	}
+	if l.pruneRental(began+2*clock.Minute, rt); len(l.fx) != 1 || len(rt.record.Machines) != 50 {
+		t.Errorf("%d machines left in the record, written %d times", len(rt.record.Machines), len(l.fx))
+	}
+}
+
+// A rental that a former leader recorded, and whose answer was lost with it, is asked for again
+// under its name, which gives the same machines: they may be up already and have shown themselves.
+func TestRentalOfAFormerLeaderIsAskedAgain(t *testing.T) {
+	l := leading(t)
+	rental := wire.Rental{Request: "r-3-1", Type: "small", Zone: "a", Spot: true, Count: 2}
+	l.Step(began, Deposed{})
+	l.Step(began, Elected{Epoch: 7})
+	l.Step(began, Authority{Until: began + 100*clock.Second})
+	fx := l.Step(began, Loaded{Epoch: 7, Asked: began, Items: []wire.Item{item(t, LayoutKey, 1, LayoutRecord{Blocks: 2}),
+		item(t, FleetPrefix+rental.Request, 3, FleetRecord{Rental: rental})}})
+	asked := 0
+	for _, e := range fx {
+		if r, ok := e.(Rent); ok && r.Rental == rental {
+			asked++
+		}
+	}
+	if asked != 1 {
+		t.Errorf("asked %d times for what a former leader has rented", asked)
+	}
+	// Its machines are in the roster once they are written there, and not before.
+	l.Step(began, Rented{Epoch: 7, Request: rental.Request, Machines: names[:2]})
+	if l.machines[names[0]] != nil {
+		t.Error("used before the roster has it")
+	}
+	l.Step(began, Committed{Epoch: 7, Tag: fleetTag{FleetPrefix + rental.Request}, Outcome: store.Outcome{OK: true, Revision: 9}})
+	if l.machines[names[0]] == nil || l.machines[names[1]] == nil {
+		t.Error("not in the roster once that is written")
+	}
+}
--- a/internal/leader/service_test.go
+++ b/internal/leader/service_test.go
@@ -37,3 +37,60 @@
 		t.Errorf("%d tasks offered after the last attempt, want the replica", n)
 	}
 }
+
+// A replica that ends with done runs again, and its worker is told to forget it only after
+// a higher token: a late copy of its order would start it beside the new attempt.
+func TestDoneReplicaRunsAgain(t *testing.T) {
+	page := peer.RecordPage{Machines: names[:1], Groups: []peer.RecordGroup{{Job: spec.Ref, Team: "red", CPUs: 1, Starts: []int{0, 1, 0, 1, 2, 0}}}}
+	l := granting(t, map[string]peer.RecordPage{"p": page})
+	j := l.jobs[spec.Ref]
+	j.record.Spec.Shape = wire.Service
+	b := l.blocks[block.Of(names[0], 2)]
+	one := peer.Task{Job: spec.Ref, Index: 0}
+	fx := l.Step(began+clock.Second, Said{Node: "n0", Link: "link", Up: &peer.Up{Epoch: 5, Updates: []peer.BlockUpdate{{Block: b.id, Token: b.token,
+		Events: []peer.Event{{Task: one, Kind: peer.Done, Machine: names[0]}}}}}})
+	stopped, stored := false, false
+	for _, o := range toldOf(fx) {
+		stopped = stopped || len(o.Stop) == 1 && o.Stop[0].Task == one
+		stored = stored || len(o.Stored) == 1 && o.Stored[0] == one
+	}
+	if !stopped || !stored || j.nDone != 0 {
+		t.Errorf("told to keep it listed %v, that it is settled %v, %d tasks done", stopped, stored, j.nDone)
+	}
+	if n := offers(fx); n != 1 {
+		t.Errorf("%d tasks offered, want the replica again", n)
+	}
+}
+
+// A service has no progress, whatever a version that took it for a batch has stored: all its
+// replicas run, and it is never done.
+func TestServiceHasNoProgress(t *testing.T) {
+	l := leading(t)
+	s := spec
+	s.Ref, s.Shape = "j-400000", wire.Service
+	j := l.addJob(JobRecord{Spec: s}, 3)
+	r := ProgRecord{Units: []ProgUnit{{Job: s.Ref, Bits: []byte{3}}}}
+	l.loadProgressPage(item(t, ProgPrefix+"1-1", 7, r), r)
+	if j.isDone(0) || j.isDone(1) {
+		t.Error("replicas count as done")
+	}
+}
+
+// A machine is faulty that fails replicas of a service which run well elsewhere.
+func TestMachineThatFailsReplicasIsDrained(t *testing.T) {
+	page := peer.RecordPage{Machines: names[:1], Groups: []peer.RecordGroup{{Job: spec.Ref, Team: "red", CPUs: 1, Starts: []int{0, 1, 0}}}}
+	l := granting(t, map[string]peer.RecordPage{"p": page})
+	j := l.jobs[spec.Ref]
+	j.record.Spec.Shape = wire.Service
+	b := l.blocks[block.Of(names[0], 2)]
+	l.Step(began, Said{Node: "n0", Link: "link", Up: &peer.Up{Epoch: 5, Updates: []peer.BlockUpdate{{Block: b.id, Token: b.token,
+		Events: []peer.Event{{Task: peer.Task{Job: spec.Ref, Index: 0}, Kind: peer.Running, Machine: names[0]}}}}}})
+	l.errored(began+2*steady, j, peer.Event{Task: peer.Task{Job: spec.Ref, Index: 1}, Machine: names[1]}, &grantedTask{})
+	if l.machines[names[1]].drain {
+		t.Error("drained after a single failure")
+	}
+	l.errored(began+2*steady, j, peer.Event{Task: peer.Task{Job: spec.Ref, Index: 1}, Machine: names[1]}, &grantedTask{})
+	if !l.machines[names[1]].drain {
+		t.Error("not drained after two failures while another replica runs")
+	}
+}
--- a/internal/status/status_test.go
+++ b/internal/status/status_test.go
@@ -97,3 +97,25 @@
 		t.Error("answered though nobody did")
 	}
 }
+
+// Pauses of any controller, suspect jobs and teams without a limit show; a site without them has no such rows.
+func TestBadNightsShow(t *testing.T) {
+	var quiet, bad bytes.Buffer
+	plain := peer.Status{Node: "c0", Leads: true, Teams: []peer.TeamStatus{{Team: "guest", CPUs: 2}}}
+	if err := WriteTable(&quiet, []Controller{{Name: "c0", Status: &plain}}, false); err != nil {
+		t.Fatal(err)
+	}
+	if s := quiet.String(); strings.Contains(s, "STOOD STILL") || strings.Contains(s, "SUSPECT") || !strings.Contains(s, "none") {
+		t.Errorf("a quiet site shows\n%s", s)
+	}
+	plain.Suspects = []peer.SuspectStatus{{Job: "j-000007", Team: "guest", Machines: 3, Probes: 2, NextS: 7.5}}
+	froze := peer.Status{Node: "c1", Pauses: 4, LastPause: &peer.PauseStatus{AgoS: 61, LengthS: 12.5, Expired: []string{"grant of block 1", "view of the jobs"}}}
+	if err := WriteTable(&bad, []Controller{{Name: "c0", Status: &plain}, {Name: "c1", Status: &froze}}, false); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"STOOD STILL", "61.00", "12.50", "grant of block 1, view of the jobs", "j-000007", "3 machines", "7.50"} {
+		if !strings.Contains(bad.String(), want) {
+			t.Errorf("no %q in\n%s", want, bad.String())
+		}
+	}
+}
