Machine lists alone give up no machine that runs work; tests of which ends are failures

Cause: a machine with tasks that reports was given up when no list had it for three lags and 10 s, though a list may be stale. Change: only an idle or silent one is. A machine that is gone falls silent.

--- a/internal/block/holder_test.go
+++ b/internal/block/holder_test.go
@@ -280,3 +280,24 @@
 		}
 	}
 }
+
+// An end whose cause is not known is no failure: its task is given back. A failure is told once, however often it is
+// reported, and one of an attempt that is not ours not at all.
+func TestWhichEndsAreFailures(t *testing.T) {
+	h := holding(t)
+	h.Step(now, beat("m1", 1, 50, running(1)))
+	h.Step(now, beat("m2", 1, 50, running(2)))
+	h.Step(later(1), beat("m1", 2, 50, exitedAs(1, "struck by lightning")))
+	events := eventsOf(h.Step(later(2), beat("m2", 2, 50, exitedAs(2, wire.CauseError))))
+	events = append(events, eventsOf(h.Step(later(3), beat("m2", 3, 50, exitedAs(2, wire.CauseError))))...)
+	events = append(events, eventsOf(h.Step(later(4), beat("m2", 4, 50, exitedAs(2, wire.CauseError), exitedAs(77, wire.CauseError))))...)
+	failed := 0
+	for _, kind := range events {
+		if kind == peer.Errored {
+			failed++
+		}
+	}
+	if failed != 1 {
+		t.Errorf("%d failures are told, want one: %v", failed, events)
+	}
+}
--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -213,7 +213,8 @@
 	switch {
 	case m.failed:
 		return "failed"
-	case m.missing >= 3 && (m.state.Silent || !m.up || now-m.listed > 3*lag+10*clock.Second):
+	case m.missing >= 3 && (m.state.Silent || !m.up || m.state.Tasks == 0 && now-m.listed > 3*lag+10*clock.Second):
+		// Lists alone cost no machine that runs work: whatever they say, one that is gone falls silent.
 		return "no longer listed"
 	case m.state.Silent && (m.state.Notice || alone):
 		return "silent"
--- a/internal/leader/fleet_test.go
+++ b/internal/leader/fleet_test.go
@@ -169,3 +169,33 @@
 		t.Error("not in the roster once that is written")
 	}
 }
+
+// Lists that contradict each other, or that lack a machine for long, cost none that runs work and reports; an idle one
+// is given up when no list has it any more, and a silent one soon.
+func TestListsAloneCostNoMachineThatRunsWork(t *testing.T) {
+	l := granting(t, nil)
+	works, idle, silent := l.machines[names[0]], l.machines[names[1]], l.machines[names[2]]
+	all := []wire.Machine{{Name: works.name, State: wire.Running}, {Name: idle.name, State: wire.Running}, {Name: silent.name, State: wire.Running}}
+	l.listedMachines(began, all)
+	for _, m := range []*machine{works, idle, silent} {
+		m.up, m.state.Silent = true, m == silent
+	}
+	works.state.Tasks, silent.state.Tasks = 3, 3
+	at := began
+	for i := range 20 {
+		at += 4 * clock.Second
+		if i%5 == 4 && at < began+40*clock.Second {
+			l.listedMachines(at, all) // an older list once more
+		} else {
+			l.listedMachines(at, nil)
+		}
+	}
+	for _, c := range []struct {
+		m    *machine
+		want string
+	}{{works, ""}, {idle, "no longer listed"}, {silent, "no longer listed"}} {
+		if why := l.whyDoomed(at, c.m, false); why != c.want {
+			t.Errorf("%s: %q, want %q", c.m.name, why, c.want)
+		}
+	}
+}
