--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -14,6 +14,9 @@
 	Type wire.MachineType
 	Zone string
 	Spot bool
+	// LateS is by how much longer than usual its machines are expected to boot, as some lately did not come up.
+	// Others that would do are rented before it; how many are needed does not depend on it.
+	LateS float64
 }
 
 // Key names the option.
@@ -318,5 +321,5 @@
 	if k == 0 {
 		return math.Inf(1)
 	}
-	return o.Price() / float64(k) * (1 + o.Type.BootS/usedFor)
+	return o.Price() / float64(k) * (1 + (o.Type.BootS+o.LateS)/usedFor)
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -95,3 +95,20 @@
 		t.Errorf("rents %v, want 6 machines for what is left", d.Rent)
 	}
 }
+
+// Of two options that would do the one whose machines come up is rented first; how many does not depend on it.
+func TestLateOptionsComeLast(t *testing.T) {
+	small := wire.MachineType{Name: "small", CPUs: 4, MemoryGB: 8, Price: 0.3, SpotPrice: 0.1, BootS: 30, ZoneNames: []string{"a", "b"}}
+	need := []Need{{CPUs: 1, Memory: 1, Spot: true, Tasks: 40, Seconds: 4000}}
+	options := []Option{{Type: small, Zone: "a", Spot: true, LateS: 60}, {Type: small, Zone: "b", Spot: true}}
+	params := Params{SpotClearS: 25, OrdinaryClearS: 200, Reserve: 0.4}
+	all := func(Option) bool { return true }
+	d := Plan(need, nil, options, params, all)
+	if len(d.Rent) != 1 || d.Rent[0].Zone != "b" || d.Rent[0].Count != 10 {
+		t.Errorf("rents %+v, want 10 in b", d.Rent)
+	}
+	d = Plan(need, nil, options[:1], params, all)
+	if len(d.Rent) != 1 || d.Rent[0].Count != 10 {
+		t.Errorf("rents %+v, want 10 though they are late", d.Rent)
+	}
+}
--- a/internal/leader/failures_test.go
+++ b/internal/leader/failures_test.go
@@ -105,11 +105,11 @@
 		}
 	}
 	l.doomed(began + late + clock.Second)
-	if boot := l.expected(booting.opt).Type.BootS; boot != 40 {
-		t.Errorf("expected boot time %g s after one that did not come up", boot)
+	if late := l.expected(booting.opt).LateS; late != 20 {
+		t.Errorf("expected %g s late after one that did not come up", late)
 	}
 	l.machineState(began+late+2*clock.Second, peer.MachineState{Name: booting.name, Type: "small", Fit: true})
-	if boot := l.expected(booting.opt).Type.BootS; boot != 20 {
-		t.Errorf("expected boot time %g s after one came up", boot)
+	if late := l.expected(booting.opt).LateS; late != 0 {
+		t.Errorf("expected %g s late after one came up", late)
 	}
 }
--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -199,10 +199,10 @@
 // mostNoBoots bounds by how much an option's machines that did not come up count.
 const mostNoBoots = 4
 
-// expected is an option with the boot time that is to be expected of it: longer where machines lately did not come
-// up, so that others are rented before it if they would do.
+// expected is an option with how late its machines are expected: a boot time for each that did not come up since one
+// last did.
 func (l *Leader) expected(o fleet.Option) fleet.Option {
-	o.Type.BootS *= float64(1 + min(l.noBoots[o.Key()], mostNoBoots))
+	o.LateS = o.Type.BootS * float64(min(l.noBoots[o.Key()], mostNoBoots))
 	return o
 }
 
