--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -7,7 +7,7 @@
 )
 
 var small = wire.MachineType{Name: "small", CPUs: 4, MemoryGB: 8, Price: 0.4, SpotPrice: 0.1, ZoneNames: []string{"a"}}
-var spot, ordinary = Option{small, "a", true}, Option{small, "a", false}
+var spot, ordinary = Option{Type: small, Zone: "a", Spot: true}, Option{Type: small, Zone: "a"}
 
 func all(Option) bool { return true }
 
