--- a/internal/leader/failures.go
+++ b/internal/leader/failures.go
@@ -27,6 +27,11 @@
 	if j.failures.Failed(now, l.machineFailures(e.Machine), f) {
 		l.suspect(j)
 	}
+	if j.failures.Suspect() {
+		l.decisions.failedSuspect++
+	} else {
+		l.decisions.failed++
+	}
 	l.judgeMachine(now, e.Machine)
 	// A service's replicas have pauses of their own: see fell.
 	if pause := j.failures.TaskPause(e.Index); pause > 0 && !standing {
--- a/internal/leader/failures_test.go
+++ b/internal/leader/failures_test.go
@@ -26,6 +26,9 @@
 	for i, name := range names[:2] {
 		l.errored(began, j, peer.Event{Task: peer.Task{Job: s.Ref, Index: 4 + i}, Machine: name}, &grantedTask{})
 	}
+	if want := (decisions{failed: 1, failedSuspect: 1}); l.decisions != want {
+		t.Errorf("counted %+v, want %+v", l.decisions, want)
+	}
 	var stopped []int
 	for _, stop := range b.orders.Stop {
 		stopped = append(stopped, stop.Task.Index)
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -32,6 +32,13 @@
 	refusedSince clock.Micros // since when the state service refuses it; 0: it does not
 }
 
+// decisions counts, for the log, how many tasks of this epoch ended without a result, by cause.
+type decisions struct {
+	failed        int // by themselves, of jobs that are not suspect
+	failedSuspect int
+	preempted     int
+}
+
 // Leader is the actor's state.
 type Leader struct {
 	settings
@@ -75,6 +82,7 @@
 	classes     map[string]*classStat     // by class
 	classesSeen map[string]bool           // classes of which a job has come in this epoch
 	counts      map[string]peer.TaskCount // by job: what was last told of it
+	decisions   decisions                 // counts for the log
 	stirred     bool                      // something changed that may let tasks start
 	urgent      bool                      // a job has come
 
--- a/internal/leader/preempt.go
+++ b/internal/leader/preempt.go
@@ -295,5 +295,6 @@
 		v.held.stopped, v.held.stoppedAt = "evicted", p.now
 		at.machine.block.orders.Stop = append(at.machine.block.orders.Stop, peer.StopTask{Task: v.task})
 		p.stopped++
+		p.l.decisions.preempted++
 	}
 }
--- a/internal/leader/status.go
+++ b/internal/leader/status.go
@@ -176,5 +176,6 @@
 	}
 	l.emit(Log{Debug: true, Text: "state", Args: []any{"jobs", len(l.jobs), "waiting", waiting, "waiting_at_limit", blocked,
 		"teams_at_limit", full, "cpus_held", used, "cpus_free", room, "machines", len(l.machines), "fit", fit,
-		"ordinary", ordinary, "idle", idle, "replicas", standing}})
+		"ordinary", ordinary, "idle", idle, "replicas", standing,
+		"failed", l.decisions.failed, "failed_suspect", l.decisions.failedSuspect, "preempted", l.decisions.preempted}})
 }
