Traces: an attempt whose block changed hands leaves its run span, too

Cause: only the controller that ordered an attempt wrote its spans; TestSurgeOverLoopback failed once where all tasks of its job ended under new grants (docs/incidents). Change: the new holder writes run from when it saw it run.

--- a/internal/block/observe.go
+++ b/internal/block/observe.go
@@ -240,19 +240,28 @@
 	}
 }
 
-// trace makes a span of an attempt that has exited: from its order on, at this controller.
+// trace makes spans of an attempt that has exited, as this controller has seen it: from its order on, or from when it
+// was first seen to run, if it was ordered under an earlier grant.
 func (h *Holder) trace(now clock.Micros, rc *taskAttempt, t *wire.TaskReport) {
-	if !h.p.Traces || rc.orderedAt == 0 {
+	if !h.p.Traces {
 		return
 	}
-	began := rc.orderedAt
-	if rc.startedAt > 0 {
-		h.emit(Trace{trace.Span{Job: rc.task.Job, Task: t.Task, Name: "fetch", Begin: began, End: rc.startedAt,
-			Attributes: []trace.Attribute{{Key: "machine", Value: rc.m.name}, {Key: "image", Value: rc.group.Image}}}})
+	span := func(name string, begin, end clock.Micros, attributes ...trace.Attribute) {
+		attributes = append([]trace.Attribute{{Key: "machine", Value: rc.m.name}}, attributes...)
+		h.emit(Trace{trace.Span{Job: rc.task.Job, Task: t.Task, Name: name, Begin: begin, End: end, Attributes: attributes}})
+	}
+	began := now
+	switch {
+	case rc.startedAt > 0:
 		began = rc.startedAt
+		if rc.orderedAt > 0 {
+			span("fetch", rc.orderedAt, began, trace.Attribute{Key: "image", Value: rc.group.Image})
+		}
+	case rc.orderedAt > 0:
+		began = rc.orderedAt
 	}
-	h.emit(Trace{trace.Span{Job: rc.task.Job, Task: t.Task, Name: "run", Begin: began, End: now,
-		Attributes: []trace.Attribute{{Key: "machine", Value: rc.m.name}, {Key: "cause", Value: t.Cause}, {Key: "attempt", Value: strconv.FormatUint(rc.attempt, 10)}}}})
+	span("run", began, now, trace.Attribute{Key: "cause", Value: t.Cause},
+		trace.Attribute{Key: "attempt", Value: strconv.FormatUint(rc.attempt, 10)}, trace.Attribute{Key: "inherited", Value: strconv.FormatBool(rc.inherited)})
 }
 
 // end is what the leader is told of an attempt that has exited. What a completion proves has yet to be
