Re-read: one text of what expired, one way to stop those tasks of a job, probes counted as named

Decides the same: standstill.ExpiredText serves log and status, leasedBlock.stopThose serves stop and suspect jobs, and failures.Job.Probes needs no correction by its caller.

--- a/internal/failures/failures.go
+++ b/internal/failures/failures.go
@@ -117,8 +117,8 @@
 // ProbeAt is when the next probe of a suspect job may start.
 func (j *Job) ProbeAt() clock.Micros { return j.probeAt }
 
-// Probes is one more than how many probes were handed out since the job became suspect.
-func (j *Job) Probes() int { return j.probes }
+// Probes is how many probes were handed out since the job became suspect.
+func (j *Job) Probes() int { return max(0, j.probes-1) }
 
 // Probed takes in that a task of a suspect job is handed out. The next one waits, longer each time.
 func (j *Job) Probed(now clock.Micros) {
--- a/internal/leader/failures.go
+++ b/internal/leader/failures.go
@@ -71,15 +71,15 @@
 func (l *Leader) suspect(j *job) {
 	ref := j.record.Spec.Ref
 	l.info("job is suspect", "job", ref, "team", j.record.Spec.Team, "failed_on", j.failures.Machines(), "tasks_out", len(j.out))
-	for _, b := range l.blocks {
-		from := len(b.orders.Stop)
-		for t, h := range b.tasks {
-			if t.Job == ref && !h.running && !h.inherited && h.stopped == "" {
-				h.stopped = "its job is suspect"
-				b.orders.Stop = append(b.orders.Stop, peer.StopTask{Task: t})
-			}
+	unstarted := func(h *grantedTask) bool {
+		if h.running || h.inherited || h.stopped != "" {
+			return false
 		}
-		slices.SortFunc(b.orders.Stop[from:], func(a, c peer.StopTask) int { return a.Index - c.Index })
+		h.stopped = "its job is suspect"
+		return true
+	}
+	for _, b := range l.blocks {
+		b.stopThose(ref, unstarted)
 	}
 }
 
@@ -101,7 +101,7 @@
 	for _, ref := range slices.Sorted(maps.Keys(l.jobs)) {
 		if j := l.jobs[ref]; j.failures.Suspect() {
 			out = append(out, peer.SuspectStatus{Job: ref, Team: j.record.Spec.Team, Machines: len(j.failures.Machines()),
-				Probes: j.failures.Probes() - 1, NextS: max(0, (j.failures.ProbeAt() - now).Seconds())})
+				Probes: j.failures.Probes(), NextS: max(0, (j.failures.ProbeAt() - now).Seconds())})
 		}
 	}
 	return out
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -206,9 +206,14 @@
 
 // stop tells the holder to end all tasks of a job.
 func (b *leasedBlock) stop(ref string) {
+	b.stopThose(ref, func(*grantedTask) bool { return true })
+}
+
+// stopThose tells the holder to end those tasks of a job that concerned names.
+func (b *leasedBlock) stopThose(ref string, concerned func(*grantedTask) bool) {
 	from := len(b.orders.Stop)
-	for t := range b.tasks {
-		if t.Job == ref {
+	for t, h := range b.tasks {
+		if t.Job == ref && concerned(h) {
 			b.orders.Stop = append(b.orders.Stop, peer.StopTask{Task: t})
 		}
 	}
--- a/internal/node/pauses.go
+++ b/internal/node/pauses.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
 	"swiftledge/internal/clock"
@@ -39,19 +38,11 @@
 			}
 		case <-gathered:
 			p := recorder.Close()
-			n.log.Warn("stood still", "length_s", p.Length().Seconds(), "expired", expiredText(p.Expired))
+			n.log.Warn("stood still", "length_s", p.Length().Seconds(), "expired", standstill.ExpiredText(p.Expired))
 		}
 	}
 }
 
-// expiredText is what ran out in a pause, for a person.
-func expiredText(expired []string) string {
-	if len(expired) == 0 {
-		return "nothing"
-	}
-	return strings.Join(expired, ", ")
-}
-
 // pausesSeen is what an operator is told of the pauses of this process; nil without any.
 func (n *Node) pausesSeen() (int, *peer.PauseStatus) {
 	q := askPauses{make(chan pausesSeen, 1)}
--- a/internal/standstill/standstill.go
+++ b/internal/standstill/standstill.go
@@ -4,6 +4,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"swiftledge/internal/clock"
 )
@@ -39,6 +40,14 @@
 	Expired      []string // what ran out meanwhile
 }
 
+// ExpiredText is what ran out in a pause, for a person.
+func ExpiredText(expired []string) string {
+	if len(expired) == 0 {
+		return "nothing"
+	}
+	return strings.Join(expired, ", ")
+}
+
 // Length is how long the pause was.
 func (p Pause) Length() clock.Micros { return p.Ended - p.Began }
 
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -6,12 +6,12 @@
 	"errors"
 	"fmt"
 	"io"
-	"strings"
 	"sync"
 	"text/tabwriter"
 
 	"swiftledge/internal/config"
 	"swiftledge/internal/peer"
+	"swiftledge/internal/standstill"
 )
 
 // Controller is one controller's answer, or why there is none.
@@ -176,11 +176,7 @@
 			headed = true
 		}
 		p := c.Status.LastPause
-		expired := "nothing"
-		if len(p.Expired) > 0 {
-			expired = strings.Join(p.Expired, ", ")
-		}
-		t.row(c.Name, c.Status.Pauses, p.AgoS, p.LengthS, expired)
+		t.row(c.Name, c.Status.Pauses, p.AgoS, p.LengthS, standstill.ExpiredText(p.Expired))
 	}
 }
 
