--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -32,7 +32,9 @@
 func main() { os.Exit(runCase()) }
 
 func runCase() int {
-	cases := map[string]func(*run) int{"long-image": longImage, "no-leader": noLeader}
+	cases := map[string]func(*run) int{
+		"long-image": longImage, "no-leader": noLeader, "blocked-team": blockedTeam,
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: cases NAME RECORD")
 		return couldNotRun
