--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -34,7 +34,7 @@
 func runCase() int {
 	cases := map[string]func(*run) int{
 		"long-image": longImage, "no-leader": noLeader, "blocked-team": blockedTeam,
-		"many-tasks": manyTasks, "cancelled-start": cancelledStart,
+		"many-tasks": manyTasks, "cancelled-start": cancelledStart, "large-service": largeService,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: cases NAME RECORD")
--- a/review/further/run.sh
+++ b/review/further/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Runs a test beyond the three cases: review/further/run.sh many-tasks, or review/further/run.sh cancelled-start. The
-# exit status is 1 if the rule was broken, 0 if it held, and 2 if the test could not run. TROUBLE=0 leaves the disruption
-# out. Needs the build of the deploy file and review/build.sh.
+# Runs a test beyond the three cases: review/further/run.sh NAME, where NAME is many-tasks, cancelled-start or
+# large-service. The exit status is 1 if the rule was broken, 0 if it held, and 2 if the test could not run. TROUBLE=0
+# leaves the disruption out. Needs the build of the deploy file and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 if [ ! -x target/swiftledge ] || [ ! -x target/review-cases ] || [ $# != 1 ]; then
   echo "name a test, and build first: the line of deploy/service.toml, then review/build.sh" >&2
