--- a/review/cases/long_image.go
+++ b/review/cases/long_image.go
@@ -90,8 +90,8 @@
 	}
 	memoryKills, ownEnds := 0, 0
 	for _, c := range s.Controllers {
-		memoryKills += c.MemoryKills
-		ownEnds += c.OwnEnds
+		byMemory, own := c.Ends()
+		memoryKills, ownEnds = memoryKills+byMemory, ownEnds+own
 	}
 	up, answered, expired := s.Counts()
 	r.record.Logf("machines up %d, answered within a lease %d, leases expired %d; controllers ended for memory %d times, "+
--- a/review/cases/no_leader.go
+++ b/review/cases/no_leader.go
@@ -39,7 +39,8 @@
 	accepted, started := submitUntil(s, r.record.Elapsed()+quietTime, r.record)
 	leads := s.Leader() != nil
 	for _, c := range s.Controllers {
-		r.record.Logf("%s: ended by itself %d times, for memory %d times", c.Name, c.OwnEnds, c.MemoryKills)
+		memoryKills, ownEnds := c.Ends()
+		r.record.Logf("%s: ended by itself %d times, for memory %d times", c.Name, ownEnds, memoryKills)
 	}
 	if started == 0 {
 		return r.verdict(broken, "broken: no task was started within %.0f s after the outage; jobs accepted: %d, a "+
--- a/review/site/controller.go
+++ b/review/site/controller.go
@@ -25,8 +25,8 @@
 	mu          sync.Mutex
 	process     *os.Process // nil while it does not run
 	mayRun      bool        // false once the site is being stopped
-	MemoryKills int         // how often the platform ended it for its memory
-	OwnEnds     int         // how often it ended by itself
+	memoryKills int         // how often the platform ended it for its memory
+	ownEnds     int         // how often it ended by itself
 }
 
 // start starts the process with the command of the deploy file. The caller holds the lock.
@@ -56,7 +56,7 @@
 	c.process = nil
 	killed := strings.Contains(fmt.Sprint(err), "killed")
 	if !killed && c.mayRun {
-		c.OwnEnds++
+		c.ownEnds++
 	}
 	c.mu.Unlock()
 	c.site.record.Logf("%s: process %d ended: %v", c.Name, command.Process.Pid, err)
@@ -70,6 +70,13 @@
 	}
 }
 
+// Ends returns how often the platform ended the process for its memory, and how often it ended by itself.
+func (c *Controller) Ends() (memoryKills, ownEnds int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.memoryKills, c.ownEnds
+}
+
 // stop ends the process for good.
 func (c *Controller) stop() {
 	c.mu.Lock()
@@ -89,7 +96,7 @@
 		return
 	}
 	if usedMB := residentMB(c.process.Pid); usedMB > limitMB {
-		c.MemoryKills++
+		c.memoryKills++
 		c.site.record.Logf("%s: process %d holds %.0f MB, over the limit of %.0f MB: the platform ends it",
 			c.Name, c.process.Pid, usedMB, limitMB)
 		_ = c.process.Kill() // fails only if the process has just ended
--- a/review/site/services.go
+++ b/review/site/services.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -21,13 +23,30 @@
 	return listener.Addr().String(), nil
 }
 
-// freeAddress returns a loopback address that nothing uses at present.
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// Ports for the controllers. They are below those that the system gives to outgoing connections, so that no connection
+// takes a controller's port before the controller listens, or while it is being restarted.
+const (
+	minPort, maxPort = 10000, 30000
+	maxPortAttempts  = 100
+)
+
+var errNoFreePort = errors.New("no free port")
+
+// freeAddress returns a loopback address that nothing uses at present and that it has not returned before.
+func (s *Site) freeAddress() (string, error) {
+	err := errNoFreePort
+	for range maxPortAttempts {
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(minPort+rand.IntN(maxPort-minPort)))
+		if s.addresses[address] {
+			continue
+		}
+		s.addresses[address] = true
+		var listener net.Listener
+		if listener, err = net.Listen("tcp4", address); err == nil {
+			return address, listener.Close()
+		}
 	}
-	return listener.Addr().String(), listener.Close()
+	return "", err
 }
 
 // writeJSON writes a response. A failure only means that the client has gone.
--- a/review/site/site.go
+++ b/review/site/site.go
@@ -68,6 +68,8 @@
 	state   *storeService
 	done    chan struct{}
 
+	addresses map[string]bool // addresses that freeAddress has returned
+
 	mu           sync.Mutex // guards all below
 	cloud        *fake.Cloud
 	workers      map[string]*worker
@@ -84,7 +86,7 @@
 		state:   newStoreService(options.ValueKB, options.TxnOps),
 		cloud:   fake.NewCloud(options.MachineTypes, clock.FromSeconds(options.ListLagS)),
 		workers: map[string]*worker{}, outputs: fake.NewOutputs(), jobs: map[string]*Job{},
-		sums: map[string]int{},
+		sums: map[string]int{}, addresses: map[string]bool{},
 	}
 	s.state.setDelay(options.SlowState)
 	// Machines are up within two to three seconds, as they are at times.
@@ -139,10 +141,10 @@
 	for i := range s.options.Controllers {
 		c := &Controller{Name: fmt.Sprintf("drover-%d", i), site: s}
 		c.settingsFile = filepath.Join(s.dir, c.Name+".json")
-		if c.ServeAddress, err = freeAddress(); err != nil {
+		if c.ServeAddress, err = s.freeAddress(); err != nil {
 			return err
 		}
-		if c.PeerAddress, err = freeAddress(); err != nil {
+		if c.PeerAddress, err = s.freeAddress(); err != nil {
 			return err
 		}
 		if c.storeAddress, err = serve(s.state.handler(c.Name)); err != nil {
@@ -208,10 +210,17 @@
 	return true
 }
 
-// AwaitLeader waits until a controller leads and all shards have a holder.
+// AwaitLeader waits until a controller leads and all shards have a holder. It returns nil if that takes longer than
+// timeout, or if a controller has ended by itself.
 func (s *Site) AwaitLeader(timeout time.Duration) *Controller {
 	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
-		if leader := s.Leader(); leader != nil {
+		leader := s.Leader()
+		for _, c := range s.Controllers {
+			if _, ownEnds := c.Ends(); ownEnds > 0 {
+				return nil
+			}
+		}
+		if leader != nil {
 			return leader
 		}
 	}
