Election: a failed read of the leader key is retried by the elector

Callers saw 503 at all controllers and no started task after an outage of 4 s during the first election. A campaign without an answer makes the elector ask for one read of the leader key and wait for it; when that read failed, the controller logged the failure and told the elector nothing. The watch, which stays open through an outage, reports no event while the key does not change. So no controller campaigned again. Evidence: the debug logs of all three controllers end with one "cannot read the leader key", status 503, and no request follows. Change: ReadLeaderKey always has a result, LeaderKeyRead, and the elector retries a failed read until the key is known. A campaign whose record cannot be encoded has a result, too. Failed campaigns are logged at debug level. The scenario runner repeated failed reads for the elector, which the program did not; it now reports them. It also took revision 0 for "not read yet"; the flag is separate now.

--- a/internal/controller/elector.go
+++ b/internal/controller/elector.go
@@ -74,29 +74,30 @@
 	leaderWatchTime = 10 * clock.Second
 )
 
-// watchLeaderKey reports every change of the leader key to the elector until the context ends.
+// watchLeaderKey reports the leader key and every change of it to the elector until the context ends.
 func (c *Controller) watchLeaderKey(ctx context.Context) {
 	for ctx.Err() == nil {
-		revision, err := c.readLeaderKey(ctx)
+		observed, err := c.readLeaderKey(ctx)
 		if err != nil {
 			c.log.Debug("cannot read the leader key", "error", err)
 			sleep(ctx, leaderKeyRetry)
 			continue
 		}
-		if err := c.watchLeaderKeySince(ctx, revision); ctx.Err() == nil {
+		c.elector.send(electionStep{observed})
+		if err := c.watchLeaderKeySince(ctx, observed.Revision); ctx.Err() == nil {
 			c.log.Debug("cannot watch the leader key", "error", err)
 			sleep(ctx, leaderWatchRetry+rand.N(leaderWatchJitter))
 		}
 	}
 }
 
-// readLeaderKey reports the current state of the leader key to the elector. It returns the revision of the store.
-func (c *Controller) readLeaderKey(ctx context.Context) (uint64, error) {
+// readLeaderKey reads the current state of the leader key.
+func (c *Controller) readLeaderKey(ctx context.Context) (election.LeaderKeyObserved, error) {
 	ctx, cancel := context.WithTimeout(ctx, electionTimeout)
 	defer cancel()
 	items, revision, err := c.store.List(ctx, store.PriorityUrgent, election.Key)
 	if err != nil {
-		return 0, fmt.Errorf("read leader key: %w", err)
+		return election.LeaderKeyObserved{}, fmt.Errorf("read leader key: %w", err)
 	}
 	var key wire.Item
 	for _, item := range items {
@@ -108,8 +109,7 @@
 	if err != nil {
 		c.log.Error("cannot decode the leader key", "error", err)
 	}
-	c.elector.send(electionStep{observed})
-	return revision, nil
+	return observed, nil
 }
 
 // watchLeaderKeySince reports every change of the leader key after a revision to the elector until a watch fails or
--- a/internal/controller/elector_effects.go
+++ b/internal/controller/elector_effects.go
@@ -10,8 +10,8 @@
 	"swiftledge/internal/store"
 )
 
-// electionTimeout bounds a request of the elector to the store. A longer wait is useless, because the elector sends
-// the request again on a later tick.
+// electionTimeout bounds a request of the elector to the store. A longer wait is useless, because the elector retries a
+// failed request.
 const electionTimeout = 2 * time.Second
 
 // performElectorEffect performs one effect of the elector and sends the result to the elector as a message.
@@ -26,11 +26,7 @@
 	case election.RevokeLease:
 		c.background.Go(func() { c.revokeLease(ctx, e) })
 	case election.ReadLeaderKey:
-		c.background.Go(func() {
-			if _, err := c.readLeaderKey(ctx); err != nil {
-				c.log.Debug("cannot read the leader key", "error", err)
-			}
-		})
+		c.background.Go(func() { c.readLeaderKeyForElector(ctx) })
 	case election.AcquireLeadership:
 		c.store.SetBudget(c.storeBudget(true))
 		c.leader.send(leader.LeadershipAcquired{Term: e.Term, Incarnation: c.incarnation})
@@ -61,15 +57,26 @@
 func (c *Controller) campaign(ctx context.Context, request election.Campaign) {
 	ctx, cancel := context.WithTimeout(ctx, electionTimeout)
 	defer cancel()
+	var result store.TxnResult
 	txn, err := request.Txn()
+	if err == nil {
+		result, err = c.store.TryCommit(ctx, store.PriorityUrgent, txn)
+	}
 	if err != nil {
-		c.log.Error("cannot campaign for leadership", "error", err)
-		return
+		c.log.Debug("campaign failed", "error", err)
 	}
-	result, err := c.store.TryCommit(ctx, store.PriorityUrgent, txn)
 	c.elector.send(electionStep{election.CampaignResult{Lease: request.Lease, Result: result, Err: err}})
 }
 
+// readLeaderKeyForElector reads the leader key once. The elector decides whether to retry a failed read.
+func (c *Controller) readLeaderKeyForElector(ctx context.Context) {
+	observed, err := c.readLeaderKey(ctx)
+	if err != nil {
+		c.log.Debug("cannot read the leader key", "error", err)
+	}
+	c.elector.send(electionStep{election.LeaderKeyRead{Observed: observed, Err: err}})
+}
+
 func (c *Controller) renewLease(ctx context.Context, request election.RenewLease) {
 	ctx, cancel := context.WithTimeout(ctx, electionTimeout)
 	defer cancel()
--- a/internal/election/elector.go
+++ b/internal/election/elector.go
@@ -21,7 +21,7 @@
 // Intervals of the election, as divisors of the lease's TTL.
 const (
 	renewalsPerTTL        = 4  // a lease is renewed this many times per TTL
-	retriesPerTTL         = 10 // a failed lease request or campaign is retried this many times per TTL
+	retriesPerTTL         = 10 // a failed lease request, campaign or read is retried this many times per TTL
 	renewalRetriesPerTTL  = 20 // a failed renewal is retried this many times per TTL
 	campaignWindowsPerTTL = 4  // a lease is too old for a campaign after TTL / campaignWindowsPerTTL
 )
@@ -33,6 +33,8 @@
 
 	leaderKey      LeaderKeyObserved
 	leaderKeyKnown bool         // leaderKey is current as far as this controller knows
+	rereadNeeded   bool         // a requested read failed and is to be retried
+	rereadAt       clock.Micros // when the read is retried
 	reportedLeader FollowLeader // the last FollowLeader effect
 
 	lease            uint64       // 0: no lease is held
@@ -67,6 +69,8 @@
 	switch m := message.(type) {
 	case LeaderKeyObserved:
 		e.handleLeaderKeyObserved(now, m)
+	case LeaderKeyRead:
+		e.handleLeaderKeyRead(now, m)
 	case LeaseGranted:
 		e.handleLeaseGranted(now, m)
 	case CampaignResult:
@@ -77,6 +81,7 @@
 		e.handleResign(m)
 	case Tick:
 	}
+	e.retryLeaderKeyRead(now)
 	if e.term > 0 {
 		e.renewLease(now)
 	} else {
@@ -111,6 +116,17 @@
 	}
 }
 
+// handleLeaderKeyRead handles the result of a requested read. A failed read must be retried: the watch of the key reports
+// nothing while the key does not change, so this controller would never campaign again.
+func (e *Elector) handleLeaderKeyRead(now clock.Micros, m LeaderKeyRead) {
+	if m.Err == nil {
+		e.handleLeaderKeyObserved(now, m.Observed)
+	}
+	if !e.leaderKeyKnown {
+		e.rereadNeeded, e.rereadAt = true, now+e.ttl/retriesPerTTL
+	}
+}
+
 func (e *Elector) handleLeaseGranted(now clock.Micros, m LeaseGranted) {
 	e.requestingLease = false
 	if m.Err != nil {
@@ -201,12 +217,19 @@
 	e.emit(leader)
 }
 
-// readLeaderKey requests the current leader key. This controller does not campaign before the answer arrives.
+// readLeaderKey requests the current leader key. This controller does not campaign before the key is known.
 func (e *Elector) readLeaderKey() {
-	e.leaderKeyKnown = false
+	e.leaderKeyKnown, e.rereadNeeded = false, false
 	e.emit(ReadLeaderKey{})
 }
 
+// retryLeaderKeyRead requests the leader key again if an earlier read failed and the key is still unknown.
+func (e *Elector) retryLeaderKeyRead(now clock.Micros) {
+	if e.rereadNeeded && !e.leaderKeyKnown && now >= e.rereadAt {
+		e.readLeaderKey()
+	}
+}
+
 // revokeLease revokes the lease. A campaign under the lease that got no answer may be executed for as long as the lease
 // lasts, even after later campaigns.
 func (e *Elector) revokeLease() {
--- a/internal/election/elector_test.go
+++ b/internal/election/elector_test.go
@@ -125,3 +125,32 @@
 		}
 	}
 }
+
+// A failed read of the leader key is retried, since the watch of the key reports nothing while the key does not change.
+// Without the read, a controller whose campaign got no answer would never campaign again.
+func TestFailedReadOfLeaderKeyIsRetried(t *testing.T) {
+	const ttl = 3 * clock.Second
+	unavailable := LeaderKeyRead{Err: store.ErrNotExecuted}
+	e := New(Record{Controller: "n0", Incarnation: 1}, ttl)
+	e.Step(0, LeaderKeyObserved{Revision: 5})
+	e.Step(1000, LeaseGranted{Lease: 9, SentAt: 500})
+	now := clock.Second
+	effects := e.Step(now, CampaignResult{Lease: 9, Err: store.ErrOutcomeUnknown})
+	for attempt := range 3 {
+		if !slices.Contains(effects, Effect(ReadLeaderKey{})) {
+			t.Fatalf("attempt %d: leader key not read, want it read until it is known", attempt)
+		}
+		if effects = e.Step(now, unavailable); len(effects) > 0 {
+			t.Fatalf("attempt %d: effects %v right after the failed read, want a delay before the next one", attempt, effects)
+		}
+		now += ttl
+		effects = e.Step(now, Tick{})
+	}
+	effects = e.Step(now, LeaderKeyRead{Observed: LeaderKeyObserved{Revision: 5}})
+	if !slices.Contains(effects, Effect(RequestLease{TTL: ttl})) {
+		t.Errorf("effects %v once the key was read, want a lease for another campaign", effects)
+	}
+	if slices.Contains(e.Step(now+ttl, Tick{}), Effect(ReadLeaderKey{})) {
+		t.Error("leader key read again although it is known")
+	}
+}
--- a/internal/election/messages.go
+++ b/internal/election/messages.go
@@ -18,6 +18,12 @@
 	Revision uint64 // of the store
 }
 
+// LeaderKeyRead is the result of ReadLeaderKey. If the read failed, Err is set and Observed is empty.
+type LeaderKeyRead struct {
+	Observed LeaderKeyObserved
+	Err      error
+}
+
 // LeaseGranted is the result of RequestLease. If the request failed, Err is set and no lease is known.
 type LeaseGranted struct {
 	Lease  uint64
@@ -25,7 +31,8 @@
 	Err    error
 }
 
-// CampaignResult is the result of Campaign. If the transaction failed or its outcome is unknown, Err is set.
+// CampaignResult is the result of Campaign. If the transaction could not be sent or failed, or its outcome is unknown,
+// Err is set.
 type CampaignResult struct {
 	Lease  uint64
 	Result store.TxnResult
@@ -47,6 +54,7 @@
 type Tick struct{}
 
 func (LeaderKeyObserved) electionMessage() {}
+func (LeaderKeyRead) electionMessage()     {}
 func (LeaseGranted) electionMessage()      {}
 func (CampaignResult) electionMessage()    {}
 func (LeaseRenewed) electionMessage()      {}
@@ -74,7 +82,7 @@
 // RevokeLease ends a lease at once. It needs no answer, because the lease expires in any case.
 type RevokeLease struct{ Lease uint64 }
 
-// ReadLeaderKey reads the leader key. LeaderKeyObserved is the answer. A failed read has no answer.
+// ReadLeaderKey reads the leader key. LeaderKeyRead reports the result, also of a failed read.
 type ReadLeaderKey struct{}
 
 // AcquireLeadership starts a term of this controller.
--- a/internal/scenario/controller_elector_test.go
+++ b/internal/scenario/controller_elector_test.go
@@ -32,7 +32,9 @@
 		c.recordLeaseRevocation(x.Lease)
 		c.callStore(func() { c.world.store.RevokeLease(x.Lease) }, func(error) {})
 	case election.ReadLeaderKey:
-		c.readLeaderKey()
+		c.readLeaderKey(func(observed election.LeaderKeyObserved, err error) {
+			c.electorStep(election.LeaderKeyRead{Observed: observed, Err: err})
+		})
 	case election.AcquireLeadership:
 		c.world.replayHeartbeats()
 		c.leaderStep(leader.LeadershipAcquired{Term: x.Term, Incarnation: cluster.Incarnation(c.incarnation)})
@@ -72,8 +74,21 @@
 	})
 }
 
-// readLeaderKey reads the leader's key, retries until there is a response, and passes the key's value to the elector.
-func (c *simController) readLeaderKey() {
+// observeLeaderKey begins to watch the leader's key. It retries the first read until there is a response, as the
+// program's watch does.
+func (c *simController) observeLeaderKey() {
+	c.readLeaderKey(func(observed election.LeaderKeyObserved, err error) {
+		if err != nil {
+			c.world.after(leaderKeyRetryDelay, c.ifSameProcess(c.observeLeaderKey))
+			return
+		}
+		c.watchesLeaderKey, c.leaderKeyRevision = true, observed.Revision
+		c.electorStep(observed)
+	})
+}
+
+// readLeaderKey reads the leader's key once and passes the outcome on, also that of a failed read.
+func (c *simController) readLeaderKey(onResult func(election.LeaderKeyObserved, error)) {
 	var item wire.Item
 	var revision uint64
 	c.recordRead(leader.Key)
@@ -82,12 +97,11 @@
 		_, revision = c.world.store.List("none")
 	}, func(err error) {
 		if err != nil {
-			c.world.after(leaderKeyRetryDelay, c.ifSameProcess(c.readLeaderKey))
+			onResult(election.LeaderKeyObserved{}, err)
 			return
 		}
-		seen, err := election.DecodeKey(item, revision)
+		observed, err := election.DecodeKey(item, revision)
 		must(err)
-		c.leaderKeyRevision = max(c.leaderKeyRevision, revision)
-		c.electorStep(seen)
+		onResult(observed, nil)
 	})
 }
--- a/internal/scenario/controller_test.go
+++ b/internal/scenario/controller_test.go
@@ -35,7 +35,8 @@
 
 	term              cluster.Term // term of the leader that the controller follows
 	leaderLink        *simLink
-	leaderKeyRevision uint64       // revision up to which the elector has seen the leader's key; 0: the key was not read yet
+	watchesLeaderKey  bool         // the leader's key was read since the start, so changes of it are watched
+	leaderKeyRevision uint64       // revision up to which the watch has delivered changes of the leader's key
 	loadedTerm        cluster.Term // term in which the leader has loaded its state; 0: none
 	loadedRevision    uint64       // revision up to which the leader has seen the jobs
 }
@@ -82,13 +83,14 @@
 		c.cfg.Facts.State.Next = nil
 		c.cfg.Tuning.Spread.Enabled = false // the version in production has no rebalancing
 	}
-	c.term, c.leaderLink, c.leaderKeyRevision, c.loadedTerm = 0, nil, 0, 0
+	c.term, c.leaderLink, c.loadedTerm = 0, nil, 0
+	c.watchesLeaderKey, c.leaderKeyRevision = false, 0
 	record := election.Record{Controller: c.name, Incarnation: c.uniqueIncarnation()}
 	c.elector = election.New(record, clock.FromSeconds(c.cfg.Tuning.Election.TTLS))
 	c.leader = leader.New(&c.cfg, c.reachesStore)
 	c.holder = shard.FromConfig(&c.cfg, c.reachesStore)
 	c.startService()
-	c.readLeaderKey()
+	c.observeLeaderKey()
 }
 
 // uniqueIncarnation returns an incarnation that no other controller uses.
@@ -170,7 +172,7 @@
 
 // watchLeaderKey delivers changes of the leader's key to the elector.
 func (c *simController) watchLeaderKey() {
-	if c.leaderKeyRevision == 0 {
+	if !c.watchesLeaderKey {
 		return
 	}
 	c.recordWatch(leader.Key, c.leaderKeyRevision)
