Controller: a deletion of machines that is dropped has a result

When the queue of cloud requests (64) was full, a deletion was dropped without a result. Its machines stayed marked as being deleted until the term ended, and were still paid for; after three of them (maxDeletionsInFlight) the leader deleted no machine any more. Found by reading, not seen in a run. Change: a dropped deletion is reported to the leader as failed, so the next reconciliation repeats it.

--- a/internal/controller/cloud_effects.go
+++ b/internal/controller/cloud_effects.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync"
 
 	"swiftledge/internal/cloud"
 	"swiftledge/internal/leader"
@@ -35,16 +36,31 @@
 	}
 }
 
-// enqueue queues a request without blocking. If the queue is full, the request is dropped, and the leader repeats
-// the request later.
-func (w *cloudWorker) enqueue(request func(context.Context)) {
+// errQueueFull is the error of a request that was dropped because too many requests were queued.
+var errQueueFull = errors.New("queue of cloud requests is full")
+
+// enqueue queues a request without blocking. If the queue is full, enqueue drops the request and returns false. The
+// leader repeats provision requests, lists and requests for the catalog after a time without an answer.
+func (w *cloudWorker) enqueue(request func(context.Context)) bool {
 	select {
 	case w.queue <- request:
+		return true
 	default:
 		w.log.Debug("cloud request dropped", "reason", "queue is full")
+		return false
 	}
 }
 
+// deleteMachines queues a deletion. The leader waits for the result of every deletion, so a dropped one has a result,
+// too.
+func (w *cloudWorker) deleteMachines(background *sync.WaitGroup, request leader.DeleteMachines) {
+	if w.enqueue(func(ctx context.Context) { w.delete(ctx, request) }) {
+		return
+	}
+	// The leader's actor is the caller, so it must not wait for space in its own mailbox.
+	background.Go(func() { w.reportDeletion(request, errQueueFull) })
+}
+
 // run performs queued requests one at a time until the context ends. Several goroutines may call run, to perform
 // several requests concurrently.
 func (w *cloudWorker) run(ctx context.Context) {
@@ -70,7 +86,10 @@
 }
 
 func (w *cloudWorker) delete(ctx context.Context, request leader.DeleteMachines) {
-	err := w.client.Delete(ctx, request.Machines)
+	w.reportDeletion(request, w.client.Delete(ctx, request.Machines))
+}
+
+func (w *cloudWorker) reportDeletion(request leader.DeleteMachines, err error) {
 	w.leader.send(leader.MachinesDeleted{Term: request.Term, Machines: request.Machines, Err: err})
 }
 
--- a/internal/controller/leader_effects.go
+++ b/internal/controller/leader_effects.go
@@ -34,7 +34,7 @@
 	case leader.ProvisionMachines:
 		c.cloud.enqueue(func(ctx context.Context) { c.cloud.provision(ctx, e) })
 	case leader.DeleteMachines:
-		c.cloud.enqueue(func(ctx context.Context) { c.cloud.delete(ctx, e) })
+		c.cloud.deleteMachines(&c.background, e)
 	case leader.ListMachines:
 		c.cloud.enqueue(c.cloud.listMachines)
 	case leader.LoadCatalog:
