Controller: commands and attempt records that cannot be encoded have results

Commands to an agent, and attempt records, that JSON cannot encode were logged and had no result, so a shard's write stayed in flight for ever. An accepted job can bring this about: a time to save near the largest number gives an infinite grace period, and while such a task is told to save, no command and no reply to a report can be encoded. Change: both have results, "not sent" and "not executed". The grace period is finite. Code 0 of CommandsAnswered has a name, NoAnswer. Packages controller and shard pass.

--- a/internal/controller/agent_client.go
+++ b/internal/controller/agent_client.go
@@ -73,9 +73,10 @@
 
 func (a *agentClient) releaseRequestSlot() { <-a.requestSlots }
 
-// sendCommands sends commands to an agent and returns its answer. An error means that nothing was sent.
+// sendCommands sends commands to an agent and returns its answer. An error means that nothing was sent: the answer's
+// code is then shard.NotSent.
 func (a *agentClient) sendCommands(ctx context.Context, request shard.SendCommands) (shard.CommandsAnswered, error) {
-	answer := shard.CommandsAnswered{Request: request}
+	answer := shard.CommandsAnswered{Request: request, Code: shard.NotSent}
 	if !a.acquireRequestSlot(ctx) {
 		return answer, ctx.Err()
 	}
@@ -91,8 +92,9 @@
 	}
 	switch err := a.http.DoTimeout(req, res, commandTimeout); {
 	case errors.Is(err, errNotConnected):
-		answer.Code = shard.NotSent
-	case err == nil:
+	case err != nil:
+		answer.Code = shard.NoAnswer
+	default:
 		answer.Code = res.StatusCode()
 		if answer.Code == http.StatusOK || answer.Code == http.StatusConflict {
 			answer.Status = decodeStatus(res.Body(), request.Machine)
--- a/internal/controller/holder_effects.go
+++ b/internal/controller/holder_effects.go
@@ -45,7 +45,6 @@
 	answer, err := c.agents.sendCommands(ctx, request)
 	if err != nil {
 		c.log.Error("cannot send commands to agent", "machine", request.Machine, "error", err)
-		return
 	}
 	c.holder.send(answer)
 }
@@ -54,7 +53,6 @@
 	answer, err := c.agents.inspect(ctx, request)
 	if err != nil {
 		c.log.Error("cannot inspect agent", "machine", request.Machine, "error", err)
-		return
 	}
 	c.holder.send(answer)
 }
@@ -62,34 +60,30 @@
 // writeAttempts writes the attempt records of a placement cycle. The tasks of the cycle are launched only after the
 // store has committed the records.
 func (c *Controller) writeAttempts(ctx context.Context, request shard.WriteAttempts) {
-	if result, ok := c.commitPages(ctx, store.PriorityAttempts, request.Txn); ok {
-		c.holder.send(request.Result(result))
-	}
+	c.holder.send(request.Result(c.commitPages(ctx, store.PriorityAttempts, request.Txn)))
 }
 
 func (c *Controller) compactPages(ctx context.Context, request shard.CompactPages) {
-	if result, ok := c.commitPages(ctx, store.PriorityBackground, request.Txn); ok {
-		c.holder.send(request.Result(result))
-	}
+	c.holder.send(request.Result(c.commitPages(ctx, store.PriorityBackground, request.Txn)))
 }
 
 // commitPages commits a transaction on pages of attempt records. The result of a failed transaction tells whether the
-// store may have executed the transaction. commitPages returns false if the transaction cannot be encoded.
+// store may have executed the transaction. A transaction that cannot be encoded is certainly not executed.
 func (c *Controller) commitPages(
 	ctx context.Context, priority store.Priority, makeTxn func() (wire.Txn, error),
-) (store.TxnResult, bool) {
+) store.TxnResult {
 	ctx, cancel := context.WithTimeout(ctx, attemptWriteTimeout)
 	defer cancel()
 	txn, err := makeTxn()
 	if err != nil {
 		c.log.Error("cannot encode attempt records", "error", err)
-		return store.TxnResult{}, false
+		return store.TxnResult{}
 	}
 	result, err := c.store.Commit(ctx, priority, txn)
 	if err != nil {
 		c.log.Debug("cannot write attempt records", "error", err)
 	}
-	return result, true
+	return result
 }
 
 // deletePages deletes obsolete attempt records. After a failure, the remaining records are an upper bound of the
--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"math"
 	"slices"
 
 	"swiftledge/internal/clock"
@@ -37,10 +38,11 @@
 	return wire.Command{Verb: wire.VerbKill, Task: t.Task, Attempt: t.Attempt, GraceS: &grace}
 }
 
-// gracePeriod returns the seconds that a task gets to write a checkpoint, somewhat more than its job declares to need.
+// gracePeriod returns the seconds that a task gets to write a checkpoint, somewhat more than its job declares to need. The
+// result is finite, since JSON has no infinity.
 func gracePeriod(checkpointS float64) float64 {
 	const factor, extraS = 1.5, 2
-	return checkpointS*factor + extraS
+	return min(checkpointS*factor+extraS, math.MaxFloat64)
 }
 
 // limitToOneReply returns the commands that fit into one reply, kill commands first because the reply renews the lease
--- a/internal/shard/commands_test.go
+++ b/internal/shard/commands_test.go
@@ -61,3 +61,17 @@
 		}
 	}
 }
+
+// Guards against a machine whose reports and commands cannot be answered: an accepted job may declare a time to save near
+// the largest number, and a grace period beyond it would be infinite, which JSON cannot encode.
+func TestGracePeriodCanBeEncoded(t *testing.T) {
+	a := &taskAttempt{task: task, group: &peer.AttemptGroup{Job: task.Job, SaveS: 1.5e308}, stop: stopWithCheckpoint}
+	command := a.killCommand()
+	raw, err := json.Marshal(command)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if *command.GraceS < a.group.SaveS {
+		t.Errorf("command %s, want a grace period of at least the time that the task needs", raw)
+	}
+}
--- a/internal/shard/messages.go
+++ b/internal/shard/messages.go
@@ -27,7 +27,7 @@
 		ReplyTo   Responder
 		Heartbeat *wire.Heartbeat
 	}
-	// CommandsAnswered is the result of SendCommands. Code is the HTTP status, 0 without an answer, or NotSent.
+	// CommandsAnswered is the result of SendCommands. Code is the HTTP status, NoAnswer or NotSent.
 	// Status is the agent's status after the commands, or nil if the answer contains no status.
 	CommandsAnswered struct {
 		Request SendCommands
@@ -62,8 +62,11 @@
 	Tick struct{}
 )
 
-// NotSent is the Code for commands that certainly never left this controller.
-const NotSent = -1
+// Values of CommandsAnswered.Code in place of an HTTP status.
+const (
+	NoAnswer = 0  // the agent may execute the commands, now or later
+	NotSent  = -1 // the commands certainly never left this controller
+)
 
 func (LeaderConnected) shardMessage()    {}
 func (LeaderDisconnected) shardMessage() {}
