Shard: every accepted job's attempt records fit on a page, and the writer never loops

Callers saw an accepted job never start and all controllers end for their memory, again and again. A job is accepted if its record fits into a value, but an attempt record repeats the image's name with some 230 bytes on a page of nine tenths of a value. When the record fitted on no page, the writer opened one empty page after the other without end. Evidence: the stack of a holder that had grown to 90 MB, in attemptWriter.add and nextPage. Change: image names of over 256 bytes stand as a digest in records and offers (peer.RecordedImage). So each record fits at any value size in use, also those of jobs and pages that the version in production stored, and its holders are not offered a name that they loop on. The size of a group on a page is that of its JSON: escaped characters and long numbers were underestimated, so the store rejected pages. A record that fits on no page is left out and logged, and the loop has an end.

--- a/internal/election/elector.go
+++ b/internal/election/elector.go
@@ -116,8 +116,8 @@
 	}
 }
 
-// handleLeaderKeyRead handles the result of a requested read. A failed read must be retried: the watch of the key reports
-// nothing while the key does not change, so this controller would never campaign again.
+// handleLeaderKeyRead handles the result of a requested read. A failed read must be retried: the watch of the key
+// reports nothing while the key does not change, so this controller would never campaign again.
 func (e *Elector) handleLeaderKeyRead(now clock.Micros, m LeaderKeyRead) {
 	if m.Err == nil {
 		e.handleLeaderKeyObserved(now, m.Observed)
--- a/internal/leader/job_lifecycle.go
+++ b/internal/leader/job_lifecycle.go
@@ -24,6 +24,7 @@
 
 // addJob adds the job of a stored record to the table of jobs.
 func (l *Leader) addJob(record JobRecord, keyVersion uint64) *jobs.Job {
+	record.Spec.Image = peer.RecordedImage(record.Spec.Image)
 	job := jobs.New(record.Spec, record.AcceptedAt, keyVersion)
 	l.jobs.Add(job)
 	return job
--- a/internal/leader/limits_test.go
+++ b/internal/leader/limits_test.go
@@ -1,10 +1,12 @@
 package leader
 
 import (
+	"strings"
 	"testing"
 
 	"swiftledge/internal/clock"
 	"swiftledge/internal/leader/assignment"
+	"swiftledge/internal/peer"
 	"swiftledge/internal/store"
 	"swiftledge/wire"
 )
@@ -89,3 +91,27 @@
 		}
 	}
 }
+
+// Guards against an older version's holder that loops without end on a job with a long image name: whichever version
+// accepted the job, the leader offers it with a name that fits on a page of attempt records.
+func TestOffersHaveRecordedImages(t *testing.T) {
+	l := newGrantedLeader(t, nil)
+	job := testJob
+	job.Ref, job.Image = "j-000002", strings.Repeat("i", 3600)
+	item := storeItem(t, JobPrefix+job.Ref, 20, JobRecord{Spec: job})
+	submitted := wire.Event{Put: item.Key, Value: item.Value, Version: item.Version}
+	effects := l.Step(startTime, JobsChanged{Term: 5, Events: []wire.Event{submitted}, RequestedAt: startTime})
+	effects = append(effects, l.Step(startTime+clock.Second, Tick{})...)
+	for _, orders := range sentOrders(effects) {
+		for _, offer := range orders.Offers {
+			if offer.Job.Ref != job.Ref {
+				continue
+			}
+			if offer.Job.Image != peer.RecordedImage(job.Image) {
+				t.Errorf("offer has an image name of %d bytes, want the recorded name", len(offer.Job.Image))
+			}
+			return
+		}
+	}
+	t.Error("job not offered")
+}
--- a/internal/peer/attempt_pager.go
+++ b/internal/peer/attempt_pager.go
@@ -6,10 +6,9 @@
 	"swiftledge/wire"
 )
 
-// Upper bounds for the JSON size of the parts of a page, excluding names and numbers.
+// Upper bounds for the JSON size of the parts of a page, excluding groups, names and numbers.
 const (
 	pageOverheadBytes    = 64
-	groupOverheadBytes   = 120
 	machineOverheadBytes = 3
 	recordOverheadBytes  = 7 // three commas and a machine index
 )
@@ -38,11 +37,11 @@
 	bytes := recordOverheadBytes + decimalDigits(index) + decimalDigits(count)
 	groupIndex, hasGroup := p.groupIndex[group.Job]
 	if !hasGroup {
-		bytes += groupOverheadBytes + len(group.Job) + len(group.Team) + len(group.Image)
+		bytes += groupBytes(*group)
 	}
 	machineIndex, hasMachine := p.machineIndex[machine]
 	if !hasMachine {
-		bytes += machineOverheadBytes + len(machine)
+		bytes += machineOverheadBytes + encodedStringBytes(machine)
 	}
 	if p.jsonBytes+bytes > p.maxBytes {
 		return false
@@ -61,6 +60,12 @@
 	return true
 }
 
+// groupBytes returns the JSON size of a group without records, and of the comma after it.
+func groupBytes(group AttemptGroup) int {
+	group.Attempts = nil
+	return encodedBytes(group) + len(",")
+}
+
 // addGroup adds a group without records and returns its index.
 func (p *AttemptPager) addGroup(group AttemptGroup) int {
 	index := len(p.page.Groups)
@@ -70,6 +75,9 @@
 	return index
 }
 
+// IsEmpty reports whether no record was added. A record that does not fit on an empty page fits on no page.
+func (p *AttemptPager) IsEmpty() bool { return len(p.page.Groups) == 0 }
+
 // Len returns the number of records on the page.
 func (p *AttemptPager) Len() int {
 	records := 0
--- a/internal/peer/attempt_pager_test.go
+++ b/internal/peer/attempt_pager_test.go
@@ -4,8 +4,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"reflect"
+	"strings"
 	"testing"
+
+	"pgregory.net/rapid"
 )
 
 // The page of a pager decodes to the records that were added and does not exceed the size limit.
@@ -47,3 +51,47 @@
 		}
 	}
 }
+
+// Guards against pages that the store rejects: names that grow when they are encoded, and numbers of many digits, once
+// made a page larger than its limit.
+func TestAttemptPageStaysBelowLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		maxBytes := rapid.IntRange(900, 4000).Draw(t, "maxBytes")
+		name := rapid.StringN(0, 300, -1)
+		number := rapid.Float64Range(0, math.MaxFloat64)
+		pager := NewAttemptPager(5, maxBytes)
+		for i := range rapid.IntRange(1, 30).Draw(t, "records") {
+			group := AttemptGroup{
+				Job: fmt.Sprintf("j-%06d", i/2), Team: "red", CPUs: number.Draw(t, "CPUs"), GPUs: number.Draw(t, "GPUs"),
+				MemoryGB: number.Draw(t, "MemoryGB"), SaveS: number.Draw(t, "SaveS"), CheckpointS: number.Draw(t, "CheckpointS"),
+				Image: RecordedImage(name.Draw(t, "Image")), ImageGB: number.Draw(t, "ImageGB"),
+			}
+			added := pager.Add(&group, i, NewAttemptID(5, uint64(i+1)), fmt.Sprint("<host>", i))
+			if !added && pager.IsEmpty() {
+				t.Fatalf("record %+v does not fit on an empty page of %d bytes", group, maxBytes)
+			}
+		}
+		if raw, err := json.Marshal(pager.Page()); err != nil || len(raw) > maxBytes {
+			t.Fatalf("JSON of the page takes %d bytes, error %v; want at most %d", len(raw), err, maxBytes)
+		}
+	})
+}
+
+// A long name is replaced by a digest of the same length for all names. The digest is stored and compared by other
+// controllers, so it must not change.
+func TestRecordedImage(t *testing.T) {
+	for _, name := range []string{"", "img-07", strings.Repeat("i", 256), strings.Repeat("ñ", 128)} {
+		if got := RecordedImage(name); got != name {
+			t.Errorf("name of %d bytes recorded as %q, want the name itself", len(name), got)
+		}
+	}
+	for _, name := range []string{strings.Repeat("i", 257), strings.Repeat("<", 43)} {
+		got := RecordedImage(name)
+		if !strings.HasPrefix(got, digestPrefix) || got != RecordedImage(name) || RecordedImage(got) != got {
+			t.Errorf("name of %d bytes recorded as %q, want a digest that is recorded as itself", len(name), got)
+		}
+	}
+	if RecordedImage(strings.Repeat("i", 257)) == RecordedImage(strings.Repeat("i", 258)) {
+		t.Error("two long names are recorded as the same name")
+	}
+}
--- a/internal/scenario/command_args_test.go
+++ b/internal/scenario/command_args_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"testing"
 	"time"
 
@@ -130,6 +131,16 @@
 	return []wire.MachineType{small, big}
 }
 
+// imageArg returns the name of the image of the job that a command describes. image_length and image_letter give a name
+// of a repeated letter.
+func imageArg(t *testing.T, d *datadriven.TestData) string {
+	t.Helper()
+	if length := arg(t, d, "image_length", 0); length > 0 {
+		return strings.Repeat(arg(t, d, "image_letter", "i"), length)
+	}
+	return "img"
+}
+
 // submissionBody encodes the submission that a command describes. It also sets how long the job's tasks really run
 // and which of them fail, which the simulated agents look up.
 func (w *world) submissionBody(t *testing.T, d *datadriven.TestData, ref string) []byte {
@@ -144,7 +155,7 @@
 		Tasks:       arg(t, d, "tasks", 1),
 		CPUs:        arg(t, d, "cpus", 1.0),
 		MemoryGB:    arg(t, d, "memory", 1.0),
-		Image:       "img",
+		Image:       imageArg(t, d),
 		ImageGB:     1,
 		OneZone:     d.HasArg("one_zone"),
 		Spread:      d.HasArg("spread_zones"),
--- a/internal/shard/attempt_log.go
+++ b/internal/shard/attempt_log.go
@@ -76,6 +76,8 @@
 	compaction     *attemptPage // the page being written to replace other pages; nil if there is none
 	lastCompaction clock.Micros
 
+	tooLargeLogged bool // a record that fits on no page was logged
+
 	pendingDeletions []string // keys still to be deleted
 	lastDeletion     clock.Micros
 }
--- a/internal/shard/attempt_log_test.go
+++ b/internal/shard/attempt_log_test.go
@@ -102,15 +102,16 @@
 }
 
 // newHolderWithStalePages returns a holder under token 60 with two pages of 30 attempts each on m1. Only the first
-// attempt of each page runs. It also returns the task statuses of these two attempts.
-func newHolderWithStalePages(t *testing.T) (*Holder, []wire.TaskStatus) {
+// attempt of each page runs. It also returns the task statuses of these two attempts. image is the name of the tasks'
+// image on the pages.
+func newHolderWithStalePages(t *testing.T, image string) (*Holder, []wire.TaskStatus) {
 	t.Helper()
 	h := newTestHolder(t)
 	h.Step(now, LeaderConnected{Term: 10})
 	pages := map[string]peer.AttemptPage{}
 	var tasks []wire.TaskStatus
 	for p := range 2 {
-		g := peer.AttemptGroup{Job: task.Job, Team: "red", CPUs: 0.01}
+		g := peer.AttemptGroup{Job: task.Job, Team: "red", CPUs: 0.01, Image: image}
 		for i := range 30 {
 			g.Attempts = append(g.Attempts, 100*p+i, 100*p+i+1, 0)
 		}
@@ -138,7 +139,7 @@
 		{"no answer", store.TxnResult{Ambiguous: true}, 3},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			h, tasks := newHolderWithStalePages(t)
+			h, tasks := newHolderWithStalePages(t, "img")
 			compaction := firstEffect[CompactPages](t, h.Step(afterUpdateIntervals(11), Tick{}))
 			txn, err := compaction.Txn()
 			if err != nil || len(txn.Writes) != 3 || txn.Conditions[0] != (wire.Condition{Key: Key(0), Version: 8}) ||
--- a/internal/shard/attempt_writer.go
+++ b/internal/shard/attempt_writer.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"errors"
 	"slices"
 
 	"swiftledge/internal/peer"
@@ -19,6 +20,7 @@
 	puts     []PageWrite
 	pager    *peer.AttemptPager // pager of the open page, which is the write's last page; nil if no page is open
 	added    int                // new records on the open page
+	isNew    bool               // the open page is not part of the log yet
 }
 
 // newWriter returns a writer for the next write. Nothing may be added to the writer while another write is in flight.
@@ -33,20 +35,29 @@
 	return w
 }
 
-// add puts an attempt's record on a page. It returns false if the transaction is full.
-func (w *attemptWriter) add(a *taskAttempt) bool {
+// Reasons why an attempt's record is not added to a write.
+var (
+	errTransactionFull = errors.New("the transaction is full")
+	errRecordTooLarge  = errors.New("the record fits on no page")
+)
+
+// add puts an attempt's record on a page.
+func (w *attemptWriter) add(a *taskAttempt) error {
 	for {
 		if w.pager != nil {
 			if w.pager.Add(a.group, a.task.Index, a.id, a.machine.name) {
 				w.added++
 				w.openPage().add(a)
 				w.write.attempts = append(w.write.attempts, a)
-				return true
+				return nil
+			}
+			if w.pager.IsEmpty() {
+				return errRecordTooLarge // another page would have no more space
 			}
-			w.handleFullPage()
+			w.releasePage()
 		}
 		if len(w.puts) >= min(w.limits.txnOps, max(1, maxTxnBytes/w.limits.valueBytes)) {
-			return false
+			return errTransactionFull
 		}
 		w.nextPage()
 	}
@@ -55,8 +66,8 @@
 // openPage returns the page that records are being added to.
 func (w *attemptWriter) openPage() *attemptPage { return w.write.pages[len(w.write.pages)-1] }
 
-// handleFullPage closes the open page, or takes the page out of the write if no new record fitted on it.
-func (w *attemptWriter) handleFullPage() {
+// releasePage closes the open page, or takes the page out of the write if no new record was added to it.
+func (w *attemptWriter) releasePage() {
 	if w.added > 0 {
 		w.closePage()
 		return
@@ -69,7 +80,7 @@
 
 // nextPage opens the next page, which keeps the records that are already on it.
 func (w *attemptWriter) nextPage() {
-	w.added = 0
+	w.added, w.isNew = 0, false
 	w.pager = w.newPager()
 	if len(w.reusable) > 0 {
 		page := w.reusable[0]
@@ -81,9 +92,8 @@
 		w.reusable = nil
 		w.pager = w.newPager()
 	}
-	page := w.log.newPage(w.log.fencingToken)
-	w.log.pages = append(w.log.pages, page)
-	w.write.pages = append(w.write.pages, page)
+	w.isNew = true
+	w.write.pages = append(w.write.pages, w.log.newPage(w.log.fencingToken))
 }
 
 func (w *attemptWriter) newPager() *peer.AttemptPager {
@@ -93,6 +103,9 @@
 // closePage adds the open page to the transaction.
 func (w *attemptWriter) closePage() {
 	page := w.openPage()
+	if w.isNew {
+		w.log.pages = append(w.log.pages, page)
+	}
 	page.storedRecords = w.pager.Len()
 	w.puts = append(w.puts, PageWrite{Key: page.key, Version: page.version, Page: w.pager.Page()})
 	w.pager = nil
@@ -101,7 +114,7 @@
 // finish starts the write and returns its effect. It returns false if nothing was added.
 func (w *attemptWriter) finish() (effect WriteAttempts, ok bool) {
 	if w.pager != nil {
-		w.closePage()
+		w.releasePage()
 	}
 	if len(w.write.attempts) == 0 {
 		return WriteAttempts{}, false
--- /dev/null
+++ b/internal/shard/attempt_writer_test.go
@@ -0,0 +1,72 @@
+package shard
+
+import (
+	"strings"
+	"testing"
+
+	"swiftledge/internal/peer"
+	"swiftledge/internal/store"
+	"swiftledge/wire"
+)
+
+// placeJob offers the only task of a job and returns the resulting effects.
+func placeJob(h *Holder, seq uint64, job wire.Job) []Effect {
+	job.Tasks, job.CPUs, job.Spot = 1, 0.1, true
+	return h.Step(now, offer(seq, job, 1))
+}
+
+// Guards against a holder that loops without end: a leader of an older version offers jobs with the full name of their
+// image, and a name that filled a page of attempt records sent the writer from one empty page to the next.
+func TestTaskWithLongImageNameIsRecorded(t *testing.T) {
+	h := newTestHolder(t)
+	h.Step(now, heartbeat("m1", 1, testToken))
+	job := wire.Job{Ref: "j-000007", Team: "red", Image: strings.Repeat("i", h.params.MaxValueBytes)}
+	write := firstEffect[WriteAttempts](t, placeJob(h, 1, job))
+	txn, err := write.Txn()
+	if err != nil || len(txn.Writes) != 1 || len(txn.Writes[0].Value) > h.params.MaxValueBytes {
+		t.Fatalf("transaction has %d puts, error %v; want one put within the size limit", len(txn.Writes), err)
+	}
+	launched := effectsOf[SendCommands](h.Step(now, write.Result(store.TxnResult{Committed: true, Revision: 33})))
+	if len(launched) != 1 || launched[0].Body.Commands[0].Task != "j-000007/0" {
+		t.Errorf("commands %+v after the write, want the run command of the task", launched)
+	}
+}
+
+// A record that fits on no page is left out: the writer must not loop, and other tasks are placed all the same.
+func TestRecordThatFitsOnNoPageIsLeftOut(t *testing.T) {
+	h := newTestHolder(t)
+	h.Step(now, heartbeat("m1", 1, testToken))
+	tooLarge := wire.Job{Ref: "j-000007", Team: strings.Repeat("t", h.params.MaxValueBytes)}
+	effects := placeJob(h, 1, tooLarge)
+	if writes := effectsOf[WriteAttempts](effects); len(writes) > 0 {
+		t.Errorf("writes %+v of a record that fits on no page, want none", writes)
+	}
+	if pages := len(h.shards[0].log.pages); pages != 1 {
+		t.Errorf("log has %d pages, want only the one that was granted", pages)
+	}
+	if logged := effectsOf[Log](effects); len(logged) != 1 {
+		t.Errorf("%d log records, want one that names the job", len(logged))
+	}
+	if logged := effectsOf[Log](placeJob(h, 2, tooLarge)); len(logged) > 0 {
+		t.Error("logged again in the same lease, want it logged once")
+	}
+	firstEffect[WriteAttempts](t, placeJob(h, 3, wire.Job{Ref: "j-000008", Team: "red"}))
+	tasks := h.shards[0].log.pendingWrite.attempts
+	if len(tasks) != 1 || tasks[0].task != (peer.Task{Job: "j-000008"}) {
+		t.Errorf("write has %d attempts, want the one of j-000008", len(tasks))
+	}
+}
+
+// Records that an older version stored with a long image name fit on the page of a compaction.
+func TestRecordsWithLongImageNamesAreCompacted(t *testing.T) {
+	limit := testParams().MaxValueBytes
+	h, statuses := newHolderWithStalePages(t, strings.Repeat("i", limit))
+	compaction := firstEffect[CompactPages](t, h.Step(afterUpdateIntervals(11), Tick{}))
+	if n := countRecords(t, compaction.Put.Page); n != len(statuses) {
+		t.Errorf("compacted page has %d records, want the %d of running attempts", n, len(statuses))
+	}
+	txn, err := compaction.Txn()
+	if err != nil || len(txn.Writes[0].Value) > limit {
+		t.Errorf("compacted page has %d bytes, error %v; want at most %d bytes", len(txn.Writes[0].Value), err, limit)
+	}
+}
--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -38,8 +38,8 @@
 	return wire.Command{Verb: wire.VerbKill, Task: t.Task, Attempt: t.Attempt, GraceS: &grace}
 }
 
-// gracePeriod returns the seconds that a task gets to write a checkpoint, somewhat more than its job declares to need. The
-// result is finite, since JSON has no infinity.
+// gracePeriod returns the seconds that a task gets to write a checkpoint, somewhat more than its job declares to need.
+// The result is finite, since JSON has no infinity.
 func gracePeriod(checkpointS float64) float64 {
 	const factor, extraS = 1.5, 2
 	return min(checkpointS*factor+extraS, math.MaxFloat64)
--- a/internal/shard/lease.go
+++ b/internal/shard/lease.go
@@ -61,9 +61,10 @@
 func (s *heldShard) loadPage(key string, source peer.AttemptPage) (added []*taskAttempt) {
 	page := &attemptPage{key: key, sealed: true, fencingToken: source.FencingToken}
 	for i := range source.Groups {
-		group := &source.Groups[i]
+		group := source.Groups[i]                     // a copy, since the leader may share the page
+		group.Image = peer.RecordedImage(group.Image) // an older version stored the full name
 		// The leader sends only pages that can be decoded in full.
-		records, _ := source.Records(group)
+		records, _ := source.Records(&group)
 		page.storedRecords += len(records)
 		for _, r := range records {
 			m := s.ensureMachine(r.Machine)
@@ -74,7 +75,7 @@
 				task:      peer.Task{Job: group.Job, Index: r.Index},
 				id:        r.Attempt,
 				machine:   m,
-				group:     group,
+				group:     &group,
 				state:     attemptLaunched,
 				inherited: true,
 			}
--- a/internal/shard/placement_cycle.go
+++ b/internal/shard/placement_cycle.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"errors"
 	"slices"
 
 	"swiftledge/internal/clock"
@@ -97,7 +98,7 @@
 	group := &placement.Group{
 		Job:         job.Ref,
 		TaskIndexes: offer.TaskIndexes,
-		Image:       job.Image,
+		Image:       peer.RecordedImage(job.Image),
 		Zone:        job.Zone,
 		Types:       job.Types,
 		Spot:        job.Spot,
@@ -137,7 +138,7 @@
 		MemoryGB:    job.MemoryGB,
 		SaveS:       job.SaveS,
 		CheckpointS: job.CheckpointS,
-		Image:       job.Image,
+		Image:       peer.RecordedImage(job.Image), // an older leader sends the full name
 		ImageGB:     job.ImageGB,
 	}
 }
@@ -159,7 +160,8 @@
 			group:   recordGroups[match.Group],
 			launch:  attemptLaunch{agentEpoch: m.agent.epoch},
 		}
-		if !writer.add(a) {
+		if err := writer.add(a); err != nil {
+			h.logUnrecorded(s, a, err)
 			continue
 		}
 		s.attempts.issuedIDs++
@@ -173,6 +175,16 @@
 	return recorded
 }
 
+// logUnrecorded logs, once in a lease, that an attempt cannot be recorded on any page. Its task stays with the leader.
+func (h *Holder) logUnrecorded(s *heldShard, a *taskAttempt, reason error) {
+	if !errors.Is(reason, errRecordTooLarge) || s.log.tooLargeLogged {
+		return
+	}
+	s.log.tooLargeLogged = true
+	h.emit(Log{Message: "cannot record an attempt",
+		Attributes: []any{"shard", s.id, "machine", a.machine.name, "job", a.task.Job, "reason", reason}})
+}
+
 // shardAfterWrite returns the shard for which a write of attempt pages has ended, or nil if the lease of the write is
 // no longer held. It drops the shard if the write was fenced, that is, if another controller holds the shard.
 func (h *Holder) shardAfterWrite(id int, token wire.FencingToken, fenced bool) *heldShard {
