Placement: a machine holds no more tasks than its agent can list in one heartbeat

From about 1,100 tasks on a heartbeat is longer than the 64 KiB that the protocol allows a body. All controllers refused it, the machine counted as silent, and the leader deleted the sound machine with all its tasks, and the next one. Only CPUs and memory bounded the tasks on a machine; tasks without CPUs had no bound. Change: at most 504 tasks a machine (wire.MaxTasksPerHeartbeat), ended ones that are still listed included, in the holder's auction, the leader's offers and the autoscaler's slots. A machine at the limit is reported without free CPUs. The scenario runner delivered heartbeats of any size and refuses larger ones now.

--- a/internal/api/service.go
+++ b/internal/api/service.go
@@ -20,9 +20,8 @@
 
 // Limits of the HTTP server.
 const (
-	maxBodyBytes = 64 << 10
-	idleTimeout  = 90 * time.Second
-	readTimeout  = 60 * time.Second
+	idleTimeout = 90 * time.Second
+	readTimeout = 60 * time.Second
 )
 
 // Store has the operations of the store that users' requests need.
@@ -78,7 +77,7 @@
 
 func (s *Service) routes() *fiber.App {
 	app := fiber.New(fiber.Config{
-		BodyLimit:    maxBodyBytes,
+		BodyLimit:    wire.MaxBodyBytes,
 		IdleTimeout:  idleTimeout,
 		ReadTimeout:  readTimeout,
 		Concurrency:  s.options.Config.MaxHTTPConnections(),
--- a/internal/autoscaler/option.go
+++ b/internal/autoscaler/option.go
@@ -62,7 +62,7 @@
 	if !d.allows(option) {
 		return 0
 	}
-	slots := 1e6
+	slots := float64(wire.MaxTasksPerHeartbeat)
 	if d.CPUs > 0 {
 		slots = min(slots, option.Type.CPUs/d.CPUs)
 	}
--- a/internal/autoscaler/plan_test.go
+++ b/internal/autoscaler/plan_test.go
@@ -146,3 +146,20 @@
 		t.Errorf("launches %+v, want 10 machines despite the delay", launches)
 	}
 }
+
+// A machine has no more slots than tasks that its agent can list in a heartbeat, however small the tasks are.
+func TestSlotsOfSmallTasks(t *testing.T) {
+	option := onDemand
+	for _, c := range []struct {
+		demand Demand
+		want   int
+	}{
+		{Demand{CPUs: option.Type.CPUs / 2}, 2},
+		{Demand{CPUs: option.Type.CPUs / 100_000}, wire.MaxTasksPerHeartbeat},
+		{Demand{}, wire.MaxTasksPerHeartbeat},
+	} {
+		if got := c.demand.Slots(&option); got != c.want {
+			t.Errorf("%d slots for tasks of %g processors, want %d", got, c.demand.CPUs, c.want)
+		}
+	}
+}
--- a/internal/leader/free_capacity.go
+++ b/internal/leader/free_capacity.go
@@ -76,6 +76,7 @@
 		bound:   l.newLoadBound(), overBound: map[candidateKey]overBoundMark{}}
 	for _, m := range l.inventory.machines {
 		m.freeCPUs, m.freeGPUs, m.freeMemory = m.state.CPUs, m.state.GPUs, m.state.MemoryGB
+		m.freeTasks = wire.MaxTasksPerHeartbeat - m.state.Tasks
 		if capacity.isOfferable(m) {
 			capacity.machines = append(capacity.machines, m)
 		} else if capacity.bound != nil && m.acceptsNewTasks() && m.state.CPUs > 0 {
@@ -117,7 +118,8 @@
 
 // fits reports whether a task fits into the machine's remaining free capacity.
 func (m *machine) fits(spec *wire.Job) bool {
-	return m.freeCPUs+1e-9 >= spec.CPUs && m.freeGPUs+1e-9 >= spec.GPUs && m.freeMemory+1e-9 >= spec.MemoryGB
+	return m.freeTasks > 0 && m.freeCPUs+1e-9 >= spec.CPUs && m.freeGPUs+1e-9 >= spec.GPUs &&
+		m.freeMemory+1e-9 >= spec.MemoryGB
 }
 
 // placementRank returns the rank in which tasks are placed on the machine, lowest first: 0 for a machine in normal use,
--- a/internal/leader/limits_test.go
+++ b/internal/leader/limits_test.go
@@ -115,3 +115,17 @@
 	}
 	t.Error("job not offered")
 }
+
+// A machine is offered at most as many tasks as its agent can list in one heartbeat, however small the tasks are.
+func TestOffersLeaveHeartbeatsBelowLimit(t *testing.T) {
+	l := newGrantedLeader(t, nil)
+	job := testJob
+	job.Ref, job.Tasks, job.CPUs, job.MemoryGB = "j-000002", 100_000, 0, 0
+	item := storeItem(t, JobPrefix+job.Ref, 20, JobRecord{Spec: job})
+	submitted := wire.Event{Put: item.Key, Value: item.Value, Version: item.Version}
+	effects := l.Step(startTime, JobsChanged{Term: 5, Events: []wire.Event{submitted}, RequestedAt: startTime})
+	offered := countOffers(append(effects, l.Step(startTime+clock.Second, Tick{})...))
+	if limit := len(machineNames) * wire.MaxTasksPerHeartbeat; offered == 0 || offered > limit {
+		t.Errorf("%d tasks offered on %d machines, want some and at most %d", offered, len(machineNames), limit)
+	}
+}
--- a/internal/leader/load_bound.go
+++ b/internal/leader/load_bound.go
@@ -89,6 +89,7 @@
 	m.freeCPUs -= spec.CPUs
 	m.freeGPUs -= spec.GPUs
 	m.freeMemory -= spec.MemoryGB
+	m.freeTasks--
 	if b != nil && m.placementRank() == 0 {
 		b.mean.Update(before.DominantShare(m.capacity()), m.usedWithOffers().DominantShare(m.capacity()))
 	}
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -46,6 +46,7 @@
 // reports in state stays unchanged.
 type offerable struct {
 	freeCPUs, freeGPUs, freeMemory float64
+	freeTasks                      int // number of further tasks, however small
 }
 
 // addMachine adds a machine of an instance group to the inventory, unless it is known already.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -38,6 +38,7 @@
 	Spot             bool
 	Free             load.Resources
 	Capacity         load.Resources
+	Tasks, MaxTasks  int         // tasks on the machine and the maximum number of them; a maximum of 0 means no limit
 	UnstartedTasks   int         // tasks assigned to the machine that do not run yet
 	CachedImages     *ImageCache // the images known to be cached; nil: none
 	FetchingImages   []string    // images that the unstarted tasks wait for
@@ -46,6 +47,9 @@
 // Load returns the dominant share of the machine's capacity that is in use.
 func (m *Machine) Load() float64 { return m.used().DominantShare(m.Capacity) }
 
+// IsFull reports whether the machine accepts no further task, however small.
+func (m *Machine) IsFull() bool { return m.MaxTasks > 0 && m.Tasks >= m.MaxTasks }
+
 func (m *Machine) used() load.Resources { return m.Capacity.Minus(m.Free) }
 
 // Group is a set of tasks of one job with the same resource request and the same placement constraints.
@@ -64,7 +68,7 @@
 }
 
 // Fits reports whether a machine has free capacity for one task of the group and the group's constraints allow it.
-func (g *Group) Fits(m *Machine) bool { return g.Request.Fits(m.Free) && g.Allows(m) }
+func (g *Group) Fits(m *Machine) bool { return !m.IsFull() && g.Request.Fits(m.Free) && g.Allows(m) }
 
 // Allows reports whether the group's constraints allow its tasks to run on a machine.
 func (g *Group) Allows(m *Machine) bool {
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -115,6 +115,7 @@
 func (p *placer) allocate(machine *Machine, group *Group) {
 	before := machine.Load()
 	machine.Free = machine.Free.Minus(group.Request)
+	machine.Tasks++
 	machine.UnstartedTasks++
 	if loadBound := p.Params.LoadBound; loadBound != nil {
 		loadBound.Mean.Update(before, machine.Load())
--- a/internal/scenario/controller_holder_test.go
+++ b/internal/scenario/controller_holder_test.go
@@ -1,7 +1,9 @@
 package scenario
 
 import (
+	"encoding/json"
 	"fmt"
+	"net/http"
 	"slices"
 
 	"swiftledge/internal/clock"
@@ -153,8 +155,22 @@
 	})
 }
 
-// receiveHeartbeat delivers an agent's heartbeat to the controller.
+// isTooLarge reports whether a heartbeat is longer than the protocol allows the body of a request to be.
+func isTooLarge(heartbeat *wire.Heartbeat) bool {
+	if len(heartbeat.Tasks) <= wire.MaxTasksPerHeartbeat {
+		return false // saves the encoding of ordinary heartbeats
+	}
+	body, err := json.Marshal(heartbeat)
+	must(err)
+	return len(body) > wire.MaxBodyBytes
+}
+
+// receiveHeartbeat delivers an agent's heartbeat to the controller, which refuses one that is too large.
 func (c *simController) receiveHeartbeat(heartbeat *wire.Heartbeat, reply func(shard.HeartbeatReply)) {
+	if isTooLarge(heartbeat) {
+		reply(shard.HeartbeatReply{Status: http.StatusBadRequest})
+		return
+	}
 	c.holderStep(shard.HeartbeatReceived{Heartbeat: heartbeat, ReplyTo: responderFunc(func(r shard.HeartbeatReply) {
 		c.recordHeartbeatReply(heartbeat.Machine, r)
 		reply(r)
--- a/internal/shard/leader_updates.go
+++ b/internal/shard/leader_updates.go
@@ -79,6 +79,9 @@
 		GPUs:             free.Free.GPUs,
 		MemoryGB:         free.Free.Memory,
 	}
+	if free.IsFull() {
+		state.CPUs = 0 // the leader offers a machine without free processors no task
+	}
 	for _, a := range m.attempts {
 		if a.state == attemptExited {
 			continue
--- a/internal/shard/machine.go
+++ b/internal/shard/machine.go
@@ -130,6 +130,8 @@
 		Spot:         m.info.spot,
 		Free:         capacity,
 		Capacity:     capacity,
+		Tasks:        len(m.attempts), // the agent also lists those that have exited
+		MaxTasks:     wire.MaxTasksPerHeartbeat,
 		CachedImages: m.images,
 	}
 	for _, a := range m.attempts {
--- a/internal/shard/placement_cycle.go
+++ b/internal/shard/placement_cycle.go
@@ -85,7 +85,7 @@
 		if _, known := h.machineTypes[m.info.typeName]; known && bound != nil {
 			bound.Mean.Add(free.Load())
 		}
-		if free.Free.CPUs > 0 {
+		if free.Free.CPUs > 0 && !free.IsFull() {
 			machines = append(machines, free)
 		}
 	}
--- a/wire/agents.go
+++ b/wire/agents.go
@@ -61,6 +61,19 @@
 	Checkpointed bool      `json:"stored,omitempty"`
 }
 
+// Limits of a heartbeat, which lists all tasks on a machine.
+const (
+	// MaxBodyBytes is the maximum size of the body of a request.
+	MaxBodyBytes = 64 << 10
+	// heartbeatOverheadBytes is an upper bound for the size of all but the tasks of a heartbeat.
+	heartbeatOverheadBytes = 1 << 10
+	// taskStatusBytes is an upper bound for the size of one task in a heartbeat, with numbers of 20 digits.
+	taskStatusBytes = 128
+	// MaxTasksPerHeartbeat is the number of tasks that fit into a heartbeat. A machine must not have more, counting the
+	// exited tasks that its agent still lists: a heartbeat that is too large is refused, and the agent's lease expires.
+	MaxTasksPerHeartbeat = (MaxBodyBytes - heartbeatOverheadBytes) / taskStatusBytes
+)
+
 // Heartbeat is an agent's report of its machine and of all tasks on it. The heartbeat with the larger agent epoch, and
 // within an epoch with the larger sequence number, is the newer one.
 type Heartbeat struct {
