Fair share: a service that needs most of its team's limit starts beside other jobs

While a team has other jobs its services may use 85% of its limit. A replica of more than that, or the last of several services that are more together, was accepted and never offered, below the limit and beside idle machines. Packages scenario, leader and fairshare pass.

--- a/internal/leader/fairshare/queue.go
+++ b/internal/leader/fairshare/queue.go
@@ -34,6 +34,8 @@
 	// services. Neither kind may starve the other.
 	serviceUsage ResourceUsage
 	hasOtherJobs bool
+	// unservedServices has the services that have waited so long that no share is kept from them.
+	unservedServices map[string]bool
 
 	// nextEntry is the job whose turn it is within the team. The entry changes only after a turn of the team.
 	nextEntry   *entry
@@ -55,16 +57,21 @@
 func (q *TeamQueue) ServiceCPUs() float64 { return q.serviceUsage.CPUs }
 
 // Fits reports whether the team may run one more task of the job: with the task the team stays within its limit and, if
-// the job is a service, its services leave the minimum share to its other jobs, because a service never ends by itself.
+// the job is a service, the minimum share of its other jobs does not keep the service waiting; see ServiceFits.
 func (q *TeamQueue) Fits(job *wire.Job) bool {
 	return q.ServiceFits(job, q.serviceUsage.CPUs) && q.Usage().FitsLimit(job, q.team)
 }
 
 // ServiceFits reports whether one more task of the job leaves the minimum share to the team's other jobs when its
-// services use serviceCPUs processors. It always reports true for a job that is no service.
+// services use serviceCPUs processors: a service never ends by itself. The share keeps a service waiting only for a
+// while, and never a service of which not even one task leaves the share. ServiceFits always reports true for a job
+// that is no service.
 func (q *TeamQueue) ServiceFits(job *wire.Job, serviceCPUs float64) bool {
-	return !job.IsService() || !q.hasOtherJobs ||
-		serviceCPUs+job.CPUs <= q.team.CPULimit()*(1-q.minShare)+tolerance
+	if !job.IsService() || !q.hasOtherJobs || q.unservedServices[job.Ref] {
+		return true
+	}
+	limit := q.team.CPULimit()*(1-q.minShare) + tolerance
+	return serviceCPUs+job.CPUs <= limit || job.CPUs > limit
 }
 
 // next returns the job whose turn it is, and whether the turn covers a single task. The sort order alone would starve
--- a/internal/leader/fairshare/queue_test.go
+++ b/internal/leader/fairshare/queue_test.go
@@ -170,6 +170,15 @@
 	if !q.ServiceFits(&service.Spec, 7) || q.ServiceFits(&service.Spec, 8) || !q.ServiceFits(&batch.Spec, 8) {
 		t.Error("services were not limited to exactly 8 of the team's 10 processors, or a batch job was limited as well")
 	}
+	service.SetUnservedSince(1)
+	afterWait := PassTime{Now: 50 * clock.Second}
+	if q := policy.Queues(afterWait, newTable(service, batch), usage)[0]; !q.ServiceFits(&service.Spec, 9) {
+		t.Error("a service that has waited for long was limited to leave a minimum share")
+	}
+	large := newJob("j-3", func(s *wire.Job) { s.Shape, s.Tasks, s.CPUs = wire.ShapeService, 1, 9 })
+	if q := policy.Queues(PassTime{}, newTable(large, batch), usage)[0]; !q.ServiceFits(&large.Spec, 0) {
+		t.Error("a service that never leaves the minimum share was limited to it, so it would never start")
+	}
 	servicesOnly := policy.Queues(PassTime{}, newTable(service), usage)[0]
 	if !servicesOnly.ServiceFits(&service.Spec, 9) {
 		t.Error("services were limited to leave a minimum share although the team had no other jobs")
