--- a/internal/scenario/random_jobs_test.go
+++ b/internal/scenario/random_jobs_test.go
@@ -32,12 +32,19 @@
 // randomJobTeam returns the team of a random job, by its number.
 func randomJobTeam(i int) string { return []string{"red", "blue"}[i%2] }
 
+// longImageRepeats makes the name of an image about a kilobyte long: an attempt record with the full name would not fit
+// on a page at the lowest value size that controllers use.
+const longImageRepeats = 200
+
 // submitRandom submits a job as a user. The job's number decides its team, priority and image, whether it is a
 // service, and whether it saves checkpoints. With rebalancing enabled, all batch jobs save checkpoints.
 func (w *world) submitRandom(i, tasks, runSeconds int) {
 	j := w.nextJob("l", randomJobTeam(i), tasks)
 	j.Priority = []wire.Priority{wire.PriorityStandard, wire.PriorityHigh}[i/2%2]
 	j.Image = fmt.Sprint("img", i%4)
+	if i%9 == 2 {
+		j.Image += strings.Repeat("-long", longImageRepeats)
+	}
 	j.EstimateS = float64(runSeconds)
 	if i%5 == 4 {
 		j.Shape, j.Priority, j.Tasks, j.EstimateS, j.Spot = wire.ShapeService, wire.PriorityProduction, 2+tasks%6, 0, false
