Clock: one wait that a context can end, in place of three

Cause: the same wait stood in controller.sleep, store.Backoff and the loopback surge. Change: clock.Sleep serves all three. No behaviour changes.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -1,5 +1,6 @@
 // Package clock represents time in whole microseconds. It covers points on the process's steady (monotonic) clock,
-// which is never set, durations, and the time of day for what leaves the process.
+// which is never set, durations, and the time of day for what leaves the process. It also has the wait that a context
+// can end.
 package clock
 
 import "time"
--- a/internal/controller/sleep.go
+++ b/internal/clock/sleep.go
@@ -1,12 +1,12 @@
-package controller
+package clock
 
 import (
 	"context"
 	"time"
 )
 
-// sleep waits for a duration. It returns false if the context ends first.
-func sleep(ctx context.Context, duration time.Duration) bool {
+// Sleep waits for a duration. It returns false if the context ends first.
+func Sleep(ctx context.Context, duration time.Duration) bool {
 	timer := time.NewTimer(duration)
 	defer timer.Stop()
 	select {
--- a/internal/controller/elector.go
+++ b/internal/controller/elector.go
@@ -80,13 +80,13 @@
 		observed, err := c.readLeaderKey(ctx)
 		if err != nil {
 			c.log.Debug("cannot read the leader key", "error", err)
-			sleep(ctx, leaderKeyRetry)
+			clock.Sleep(ctx, leaderKeyRetry)
 			continue
 		}
 		c.elector.send(electionStep{observed})
 		if err := c.watchLeaderKeySince(ctx, observed.Revision); ctx.Err() == nil {
 			c.log.Debug("cannot watch the leader key", "error", err)
-			sleep(ctx, leaderWatchRetry+rand.N(leaderWatchJitter))
+			clock.Sleep(ctx, leaderWatchRetry+rand.N(leaderWatchJitter))
 		}
 	}
 }
--- a/internal/controller/follower.go
+++ b/internal/controller/follower.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"swiftledge/internal/api"
+	"swiftledge/internal/clock"
 	"swiftledge/internal/cluster"
 	"swiftledge/internal/config"
 	"swiftledge/internal/leader"
@@ -76,7 +77,7 @@
 			f.followThroughStore(ctx, hello, name, address)
 			continue
 		}
-		sleep(ctx, leaderDialRetry+rand.N(leaderDialJitter))
+		clock.Sleep(ctx, leaderDialRetry+rand.N(leaderDialJitter))
 	}
 }
 
@@ -119,7 +120,7 @@
 // waitUntilReachable tries to connect to an address until an attempt succeeds. It returns false if the context ends
 // first.
 func waitUntilReachable(ctx context.Context, address string) bool {
-	for sleep(ctx, directDialInterval) {
+	for clock.Sleep(ctx, directDialInterval) {
 		if conn, err := netio.Dial(address, directDialTimeout); err == nil {
 			conn.Close()
 			return true
--- a/internal/controller/peer_listener.go
+++ b/internal/controller/peer_listener.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"swiftledge/internal/api"
+	"swiftledge/internal/clock"
 	"swiftledge/internal/cluster"
 	"swiftledge/internal/leader"
 	"swiftledge/internal/peer"
@@ -55,7 +56,7 @@
 			return
 		default:
 			l.log.Error("cannot accept a connection from a controller", "error", err)
-			sleep(ctx, acceptRetry)
+			clock.Sleep(ctx, acceptRetry)
 		}
 	}
 }
--- a/internal/controller/state_loader.go
+++ b/internal/controller/state_loader.go
@@ -136,7 +136,7 @@
 			l.log.Error("cannot decode attempt records", "shard", request.Shard, "error", err)
 		}
 		logged = true
-		if !sleep(ctx, attemptDecodeRetry) {
+		if !clock.Sleep(ctx, attemptDecodeRetry) {
 			return
 		}
 	}
--- a/internal/loopback/surge.go
+++ b/internal/loopback/surge.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"swiftledge/internal/clock"
 	"swiftledge/internal/peer"
 	"swiftledge/wire"
 )
@@ -126,7 +127,7 @@
 	for n := 0; ; n++ {
 		due := slices.MinFunc(dueTimes, time.Time.Compare)
 		team := slices.Index(dueTimes, due)
-		if due.After(end) || !sleepUntil(ctx, due) {
+		if due.After(end) || !clock.Sleep(ctx, time.Until(due)) {
 			return refused
 		}
 		interval := s.JobInterval
@@ -141,18 +142,6 @@
 	}
 }
 
-// sleepUntil sleeps until a point in time. It returns false if ctx is cancelled first.
-func sleepUntil(ctx context.Context, wakeTime time.Time) bool {
-	timer := time.NewTimer(time.Until(wakeTime))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // surgeJob returns the n-th job and the actual run time of its tasks: two tasks of half a CPU that run for 20 to 120 s
 // and save checkpoints. The run times and images vary from job to job, but in the same way on every run.
 func surgeJob(n int, team string) (job wire.Job, runS float64) {
--- a/internal/store/backoff.go
+++ b/internal/store/backoff.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"swiftledge/internal/clock"
 )
 
 const (
@@ -16,12 +18,5 @@
 // Backoff returns false if ctx ends before the wait is over.
 func Backoff(ctx context.Context, attempt int) bool {
 	backoff := minBackoff << min(attempt, maxBackoffDoublings)
-	timer := time.NewTimer(backoff/2 + rand.N(backoff))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return clock.Sleep(ctx, backoff/2+rand.N(backoff))
 }
