Shard: attempt records are conditional on their jobs, so no task starts after a cancellation

While the state service refuses the leader alone, the leader hands out tasks on a view of the jobs of up to one TTL, and the other controllers started tasks up to 1.2 s after the cancellation of their job was confirmed. The write that records an attempt did not ask for its job. Change: offers carry the version of the job's key (a key of wire.Job's map, which older versions ignore), and the write of the attempt records is conditional on it. A job that has ended makes the write fail; its tasks are not placed again in the lease, the others are offered again. A write names at most three jobs for each of txn_ops, less one.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -8,3 +8,7 @@
 // Incarnation identifies one run of a controller's process, so that a process does not mistake what an earlier run has
 // created for its own.
 type Incarnation uint64
+
+// JobKeyPrefix is the prefix of the store keys of jobs that have neither ended nor been cancelled. The job's reference
+// follows the prefix.
+const JobKeyPrefix = "job/"
--- a/internal/compat/exact_test.go
+++ b/internal/compat/exact_test.go
@@ -355,6 +355,7 @@
 	// Fields of which a value may set only some, and fields that the version in production does not have.
 	exempt := []string{
 		"Job.FleetLoad",
+		"Job.KeyVersion",
 		"Write.Lease",
 		"Write.Value",
 		"Write.Put",
--- a/internal/leader/records.go
+++ b/internal/leader/records.go
@@ -12,7 +12,7 @@
 	Key                 = election.Key
 	LayoutKey           = "layout"
 	CatalogKey          = "catalog"
-	JobPrefix           = "job/"
+	JobPrefix           = cluster.JobKeyPrefix
 	FinalStatePrefix    = "over/"
 	InstanceGroupPrefix = "fleet/"
 )
--- a/internal/leader/schedule.go
+++ b/internal/leader/schedule.go
@@ -144,7 +144,9 @@
 	if !ok {
 		position = len(lease.orders.Offers)
 		o.positions[key] = position
-		lease.orders.Offers = append(lease.orders.Offers, peer.TaskOffer{Job: *spec, Zone: zone})
+		offered := peer.TaskOffer{Job: *spec, Zone: zone}
+		offered.Job.KeyVersion = job.KeyVersion
+		lease.orders.Offers = append(lease.orders.Offers, offered)
 	}
 	lease.orders.Offers[position].TaskIndexes = append(lease.orders.Offers[position].TaskIndexes, index)
 	job.SetUnservedSince(o.now)
--- a/internal/scenario/commands_jobs_test.go
+++ b/internal/scenario/commands_jobs_test.go
@@ -71,6 +71,16 @@
 	return "no answer"
 }
 
+// lateLaunchCommand tells whether an agent executed a run command for a task of a job later than a time after the
+// cancellation of the job was confirmed.
+func lateLaunchCommand(t *testing.T, w *world, d *datadriven.TestData) string {
+	ref := arg(t, d, "ref", "")
+	if late := w.rules.lateLaunch[ref]; late > duration(t, d, "within") {
+		return fmt.Sprintf("%g s after the cancellation", late.Seconds())
+	}
+	return "none"
+}
+
 // awaitCommand runs the cluster until a job is in a state, or until a timeout.
 func awaitCommand(t *testing.T, w *world, d *datadriven.TestData) string {
 	ref := arg(t, d, "ref", "")
--- a/internal/scenario/machines_test.go
+++ b/internal/scenario/machines_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"swiftledge/internal/fake"
 	"swiftledge/wire"
@@ -92,6 +93,10 @@
 // RunCommandExecuted implements fake.Observer.
 func (o observer) RunCommandExecuted(agent *fake.Agent, t *fake.Task) {
 	o.world.rules.history.checkRunCommand(agent.Name, t)
+	ref, _, _ := strings.Cut(t.Task, "/")
+	if cancelledAt, ok := o.world.users.cancelledAt[ref]; ok {
+		o.world.rules.lateLaunch[ref] = o.world.now - cancelledAt
+	}
 }
 
 // TaskStarted implements fake.Observer.
--- a/internal/scenario/rules_test.go
+++ b/internal/scenario/rules_test.go
@@ -18,6 +18,7 @@
 	completions  map[string]int          // by task: number of completions
 	firstStartAt map[string]clock.Micros // by job: when its first task started
 	lastStartAt  map[string]clock.Micros // by job: when one of its tasks last started
+	lateLaunch   map[string]clock.Micros // by job: how long after the confirmed cancellation an agent last executed a run command
 	waitingSince map[string]clock.Micros // by job: since when it waits although there is free capacity for it
 }
 
@@ -28,6 +29,7 @@
 		completions:  map[string]int{},
 		firstStartAt: map[string]clock.Micros{},
 		lastStartAt:  map[string]clock.Micros{},
+		lateLaunch:   map[string]clock.Micros{},
 		waitingSince: map[string]clock.Micros{},
 	}
 }
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -56,6 +56,7 @@
 		"keys":              keysCommand,
 		"known":             knownCommand,
 		"largest_value":     largestValueCommand,
+		"late_launch":       lateLaunchCommand,
 		"leader":            leaderCommand,
 		"limits":            limitsCommand,
 		"load":              loadCommand,
--- a/internal/shard/attempt_log_test.go
+++ b/internal/shard/attempt_log_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"swiftledge/internal/clock"
+	"swiftledge/internal/cluster"
 	"swiftledge/internal/peer"
 	"swiftledge/internal/store"
 	"swiftledge/wire"
@@ -212,26 +213,37 @@
 	}
 }
 
-// A failed page condition proves that an earlier send was committed only while this holder has the shard.
+// A failed page condition proves that an earlier send was committed only while this holder has the shard. A failed job
+// condition proves nothing but the end of the job.
 func TestWriteResultOnFailedConditions(t *testing.T) {
 	write := WriteAttempts{Shard: 0, FencingToken: testToken}
-	const page = "run/000/50-1"
+	const page, job = "run/000/50-1", cluster.JobKeyPrefix + "j-000009"
 	for _, c := range []struct {
-		name      string
-		result    store.TxnResult
-		committed bool
-		fenced    bool
+		name          string
+		result        store.TxnResult
+		committed     bool
+		fenced        bool
+		neverExecuted bool
+		endedJobs     int
 	}{
 		{"page condition, after an unanswered send",
-			store.TxnResult{Ambiguous: true, FailedKeys: []string{page}}, true, false},
-		{"page condition, at the first send", store.TxnResult{FailedKeys: []string{page}}, false, false},
+			store.TxnResult{Ambiguous: true, FailedKeys: []string{page}}, true, false, false, 0},
+		{"page condition, at the first send", store.TxnResult{FailedKeys: []string{page}}, false, false, false, 0},
 		{"both conditions, after an unanswered send",
-			store.TxnResult{Ambiguous: true, FailedKeys: []string{Key(0), page}}, false, true},
-		{"shard condition", store.TxnResult{FailedKeys: []string{Key(0)}}, false, true},
+			store.TxnResult{Ambiguous: true, FailedKeys: []string{Key(0), page}}, false, true, false, 0},
+		{"shard condition", store.TxnResult{FailedKeys: []string{Key(0)}}, false, true, false, 0},
+		{"job condition, at the first send", store.TxnResult{FailedKeys: []string{job}}, false, false, true, 1},
+		{"job condition, after an unanswered send",
+			store.TxnResult{Ambiguous: true, FailedKeys: []string{job}}, false, false, false, 1},
+		{"job and page conditions, after an unanswered send",
+			store.TxnResult{Ambiguous: true, FailedKeys: []string{job, page}}, true, false, false, 1},
+		{"job and shard conditions, after an unanswered send",
+			store.TxnResult{Ambiguous: true, FailedKeys: []string{Key(0), job}}, false, true, false, 1},
 	} {
 		got := write.Result(c.result)
-		if got.Committed != c.committed || got.Fenced != c.fenced || got.NeverExecuted || got.Revision != 0 {
-			t.Errorf("%s: result %+v, want the case's Committed and Fenced, no NeverExecuted and no Revision", c.name, got)
+		if got.Committed != c.committed || got.Fenced != c.fenced || got.NeverExecuted != c.neverExecuted ||
+			len(got.EndedJobs) != c.endedJobs || got.Revision != 0 {
+			t.Errorf("%s: result %+v, want Committed, Fenced, NeverExecuted and the ended jobs of the case, and no Revision", c.name, got)
 		}
 	}
 }
--- a/internal/shard/attempt_writer.go
+++ b/internal/shard/attempt_writer.go
@@ -7,6 +7,9 @@
 	"swiftledge/internal/peer"
 )
 
+// conditionsPerTxnOp is how many conditions a transaction may have for each put or delete that it may have.
+const conditionsPerTxnOp = 4
+
 // maxTxnBytes limits the total size of the values in one transaction.
 const maxTxnBytes = 56 << 10
 
@@ -17,6 +20,7 @@
 	limits   storeLimits
 	reusable []*attemptPage // emptiest first
 	write    *attemptWrite
+	jobs     []JobCondition // of the jobs of the new records
 	puts     []PageWrite
 	pager    *peer.AttemptPager // pager of the open page, which is the write's last page; nil if no page is open
 	added    int                // new records on the open page
@@ -43,6 +47,30 @@
 
 // add puts an attempt's record on a page.
 func (w *attemptWriter) add(a *taskAttempt) error {
+	condition, isNew := w.jobCondition(a)
+	if isNew && len(w.jobs) >= w.maxJobs() {
+		return errTransactionFull
+	}
+	if err := w.addRecord(a); err != nil {
+		return err
+	}
+	if isNew {
+		w.jobs = append(w.jobs, condition)
+	}
+	return nil
+}
+
+// jobCondition returns the condition on the job of an attempt, and whether the write needs it and does not have it yet.
+func (w *attemptWriter) jobCondition(a *taskAttempt) (condition JobCondition, isNew bool) {
+	condition = JobCondition{Job: a.task.Job, Version: a.launch.jobVersion}
+	return condition, condition.Version > 0 && !slices.Contains(w.jobs, condition)
+}
+
+// maxJobs returns how many jobs may have conditions, beside those of the shard and of as many pages as a transaction
+// may write.
+func (w *attemptWriter) maxJobs() int { return (conditionsPerTxnOp-1)*w.limits.txnOps - 1 }
+
+func (w *attemptWriter) addRecord(a *taskAttempt) error {
 	for {
 		if w.pager != nil {
 			if w.pager.Add(a.group, a.task.Index, a.id, a.machine.name) {
@@ -127,6 +155,7 @@
 		FencingToken: l.fencingToken,
 		Seq:          w.write.seq,
 		KeyVersion:   l.keyVersion,
+		Jobs:         w.jobs,
 		Pages:        w.puts,
 	}, true
 }
--- a/internal/shard/attempt_writer_test.go
+++ b/internal/shard/attempt_writer_test.go
@@ -1,9 +1,12 @@
 package shard
 
 import (
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 
+	"swiftledge/internal/cluster"
 	"swiftledge/internal/peer"
 	"swiftledge/internal/store"
 	"swiftledge/wire"
@@ -70,3 +73,66 @@
 		t.Errorf("compacted page has %d bytes, error %v; want at most %d bytes", len(txn.Writes[0].Value), err, limit)
 	}
 }
+
+// Guards against starts after a confirmed cancellation: a write of attempt records fails once one of its jobs has ended,
+// whatever the leader knows. Tasks of the other jobs go back to the leader and are placed by the next write; tasks of the
+// ended job are not placed any more.
+func TestEndedJobIsNotLaunched(t *testing.T) {
+	ended := wire.Job{Ref: "j-000007", Team: "red", CPUs: 0.1, Spot: true, Tasks: 1, KeyVersion: 70}
+	other := wire.Job{Ref: "j-000008", Team: "red", CPUs: 0.1, Spot: true, Tasks: 1, KeyVersion: 80}
+	both := func(seq uint64) LeaderMessage {
+		return orders(peer.ShardOrders{OfferSeq: seq, Offers: []peer.TaskOffer{
+			{Job: ended, TaskIndexes: []int{0}}, {Job: other, TaskIndexes: []int{0}}}})
+	}
+	endedKey := cluster.JobKeyPrefix + ended.Ref
+	for _, result := range []store.TxnResult{
+		{FailedKeys: []string{endedKey}},
+		{Ambiguous: true, FailedKeys: []string{endedKey}},
+		{Ambiguous: true, FailedKeys: []string{endedKey, "run/000/50-1"}},
+	} {
+		h := newTestHolder(t)
+		h.Step(now, heartbeat("m1", 1, testToken))
+		write := firstEffect[WriteAttempts](t, h.Step(now, both(1)))
+		txn, err := write.Txn()
+		wanted := []wire.Condition{{Key: Key(0), Version: 7}, {Key: endedKey, Version: 70},
+			{Key: cluster.JobKeyPrefix + other.Ref, Version: 80}, {Key: write.Pages[0].Key}}
+		if err != nil || !slices.Equal(txn.Conditions, wanted) {
+			t.Fatalf("conditions %v, error %v; want %v", txn.Conditions, err, wanted)
+		}
+		for _, sent := range effectsOf[SendCommands](h.Step(now, write.Result(result))) {
+			for _, c := range sent.Body.Commands {
+				if c.Task == ended.Ref+"/0" {
+					t.Errorf("result %+v: ended job launched", result)
+				}
+			}
+		}
+		if len(h.shards[0].attempts.byTask[peer.Task{Job: ended.Ref}]) > 0 {
+			t.Errorf("result %+v: the ended job still has an attempt", result)
+		}
+		for _, next := range effectsOf[WriteAttempts](h.Step(now, both(2))) {
+			if slices.ContainsFunc(next.Jobs, func(c JobCondition) bool { return c.Job == ended.Ref }) {
+				t.Errorf("result %+v: ended job placed again", result)
+			}
+		}
+	}
+}
+
+// A write has no more conditions than a transaction may have. The tasks of further jobs are left to the next write.
+func TestJobConditionsFitTransaction(t *testing.T) {
+	h := newTestHolder(t)
+	h.Step(now, heartbeat("m1", 1, testToken))
+	const jobs = 60
+	var offers []peer.TaskOffer
+	for i := range jobs {
+		job := wire.Job{Ref: "j-" + strconv.Itoa(100_000+i), Team: "red", CPUs: 0.01, Spot: true, Tasks: 1, KeyVersion: 9}
+		offers = append(offers, peer.TaskOffer{Job: job, TaskIndexes: []int{0}})
+	}
+	write := firstEffect[WriteAttempts](t, h.Step(now, orders(peer.ShardOrders{OfferSeq: 1, Offers: offers})))
+	txn, err := write.Txn()
+	if limit := conditionsPerTxnOp * h.params.MaxTxnOps; err != nil || len(txn.Conditions) > limit || len(write.Jobs) < limit/2 {
+		t.Errorf("%d conditions for %d jobs, error %v; want at most %d", len(txn.Conditions), len(write.Jobs), err, limit)
+	}
+	if placed := len(h.shards[0].log.pendingWrite.attempts); placed != len(write.Jobs) {
+		t.Errorf("%d tasks placed with conditions on %d jobs, want one each", placed, len(write.Jobs))
+	}
+}
--- a/internal/shard/attempts.go
+++ b/internal/shard/attempts.go
@@ -85,6 +85,7 @@
 
 // attemptLaunch describes the launch of an attempt.
 type attemptLaunch struct {
+	jobVersion    uint64          // version of the job's key when the task was offered; 0: unknown
 	launchedAt    clock.Micros    // 0: launched under an earlier lease
 	agentEpoch    wire.AgentEpoch // the epoch that the run command is for
 	sentInRequest bool            // a run command under this token went out by SendCommands; a copy may arrive late
--- a/internal/shard/effects.go
+++ b/internal/shard/effects.go
@@ -57,8 +57,14 @@
 		FencingToken wire.FencingToken
 		Seq          int
 		KeyVersion   uint64
+		Jobs         []JobCondition // jobs of the new records; none of them may have ended
 		Pages        []PageWrite
 	}
+	// JobCondition requires that the key of a job is still at Version: the job has neither ended nor been cancelled.
+	JobCondition struct {
+		Job     string
+		Version uint64
+	}
 	// PageWrite overwrites the page under Key if the key is still at Version.
 	PageWrite struct {
 		Key     string
--- a/internal/shard/held_shard.go
+++ b/internal/shard/held_shard.go
@@ -34,6 +34,7 @@
 	attempts     attemptTable
 	log          attemptLog
 	update       pendingUpdate
+	endedJobs    map[string]bool // jobs found to have ended; the leader may not know it yet and offer their tasks
 }
 
 func newHeldShard(id int, lease shardLease) *heldShard {
@@ -43,6 +44,8 @@
 		machines: map[string]*machine{},
 		attempts: attemptTable{byTask: map[peer.Task][]*taskAttempt{}, unreportedEnds: map[peer.Task]int{}},
 		log:      attemptLog{shard: id, fencingToken: lease.fencingToken, keyVersion: lease.keyVersion},
+
+		endedJobs: map[string]bool{},
 	}
 }
 
--- a/internal/shard/messages.go
+++ b/internal/shard/messages.go
@@ -45,10 +45,11 @@
 		FencingToken  wire.FencingToken
 		Seq           int
 		Committed     bool
-		Fenced        bool   // another controller holds the shard
-		NeverExecuted bool   // certainly not executed, neither now nor later
-		Revision      uint64 // the new version of the pages; 0 if it is unknown
-		TooLarge      bool   // the store rejected the transaction for its size
+		Fenced        bool     // another controller holds the shard
+		EndedJobs     []string // jobs that have ended or been cancelled
+		NeverExecuted bool     // certainly not executed, neither now nor later
+		Revision      uint64   // the new version of the pages; 0 if it is unknown
+		TooLarge      bool     // the store rejected the transaction for its size
 	}
 	// PagesCompacted is the result of CompactPages.
 	PagesCompacted struct {
--- a/internal/shard/placement_cycle.go
+++ b/internal/shard/placement_cycle.go
@@ -28,19 +28,24 @@
 		machines = h.candidates(now, s, params.LoadBound)
 	}
 	groups := make([]*placement.Group, len(offers))
-	recordGroups := make(map[*placement.Group]*peer.AttemptGroup, len(offers))
+	var running []*placement.Group // without the groups of ended jobs
+	jobs := make(map[*placement.Group]offeredJob, len(offers))
 	for i := range offers {
+		job := &offers[i].Job
 		groups[i] = s.placementGroup(&offers[i])
-		recordGroups[groups[i]] = attemptGroup(&offers[i].Job)
+		jobs[groups[i]] = offeredJob{record: attemptGroup(job), keyVersion: job.KeyVersion}
+		if !s.endedJobs[job.Ref] {
+			running = append(running, groups[i])
+		}
 	}
 	matches := placement.Place(placement.Cycle{
-		Groups:   groups,
+		Groups:   running,
 		Machines: machines,
 		History:  h.visits,
 		Params:   params,
 		Now:      now,
 	})
-	placed := h.recordMatches(s, matches, recordGroups)
+	placed := h.recordMatches(s, matches, jobs)
 	for _, group := range groups {
 		for _, index := range group.TaskIndexes {
 			if task := (peer.Task{Job: group.Job, Index: index}); !placed[task] {
@@ -50,6 +55,12 @@
 	}
 }
 
+// offeredJob is what the records of a job's attempts need to know about the job.
+type offeredJob struct {
+	record     *peer.AttemptGroup
+	keyVersion uint64 // 0: unknown
+}
+
 // auctionParams returns the parameters of the auction, with the bound on the machines' load if one is set.
 func (h *Holder) auctionParams(offers []peer.TaskOffer) placement.Params {
 	params := h.placementParams
@@ -146,7 +157,7 @@
 // recordMatches starts one write of attempt records for the matches and returns the tasks whose records are in this
 // write. Tasks that do not fit into one transaction are left to a later cycle.
 func (h *Holder) recordMatches(
-	s *heldShard, matches []placement.Match, recordGroups map[*placement.Group]*peer.AttemptGroup,
+	s *heldShard, matches []placement.Match, jobs map[*placement.Group]offeredJob,
 ) map[peer.Task]bool {
 	recorded := map[peer.Task]bool{}
 	writer := s.log.newWriter(h.params.limits())
@@ -157,8 +168,8 @@
 			task:    peer.Task{Job: match.Group.Job, Index: match.TaskIndex},
 			id:      peer.NewAttemptID(s.lease.fencingToken, s.attempts.issuedIDs+1),
 			machine: m,
-			group:   recordGroups[match.Group],
-			launch:  attemptLaunch{agentEpoch: m.agent.epoch},
+			group:   jobs[match.Group].record,
+			launch:  attemptLaunch{jobVersion: jobs[match.Group].keyVersion, agentEpoch: m.agent.epoch},
 		}
 		if err := writer.add(a); err != nil {
 			h.logUnrecorded(s, a, err)
@@ -211,9 +222,12 @@
 		// The store's limits have fallen below the configured ones.
 		h.params.MaxValueBytes, h.params.MaxTxnOps = store.ReducedLimits(h.params.MaxValueBytes, h.params.MaxTxnOps)
 	}
+	for _, job := range result.EndedJobs {
+		s.endedJobs[job] = true
+	}
 	var batches commandBatches
 	for _, a := range attempts {
-		if !result.Committed || s.lease.hasExpired(now) || !a.canLaunch() {
+		if !result.Committed || s.lease.hasExpired(now) || !a.canLaunch() || s.endedJobs[a.task.Job] {
 			s.removeAttempt(a) // never launched, so it cannot run anywhere
 			continue
 		}
--- a/internal/shard/store_txns.go
+++ b/internal/shard/store_txns.go
@@ -2,18 +2,24 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/goccy/go-json"
 
+	"swiftledge/internal/cluster"
 	"swiftledge/internal/peer"
 	"swiftledge/internal/store"
 	"swiftledge/wire"
 )
 
 // Txn returns the transaction that writes the pages. Its conditions are the versions of the shard's key and of each
-// page, so that a copy of the transaction that is applied late does not overwrite a newer page with an older page.
+// page, so that a copy of the transaction that is applied late does not overwrite a newer page with an older page, and
+// the versions of the jobs' keys, so that no task is started after the cancellation of its job was confirmed.
 func (w WriteAttempts) Txn() (wire.Txn, error) {
 	txn := wire.Txn{Conditions: []wire.Condition{{Key: Key(w.Shard), Version: w.KeyVersion}}}
+	for _, job := range w.Jobs {
+		txn.Conditions = append(txn.Conditions, wire.Condition{Key: cluster.JobKeyPrefix + job.Job, Version: job.Version})
+	}
 	for _, page := range w.Pages {
 		value, err := json.Marshal(page.Page)
 		if err != nil {
@@ -27,17 +33,20 @@
 
 // Result interprets the outcome of the transaction. Only the holder of the lease writes the lease's pages, one write at
 // a time. So if the condition of a page fails after an earlier send of the same write got no answer, that earlier send
-// was committed.
+// was committed. A job whose condition fails has ended for ever.
 func (w WriteAttempts) Result(result store.TxnResult) AttemptsWritten {
 	fenced := result.FailedOn(Key(w.Shard))
-	earlierSendCommitted := !fenced && result.Ambiguous && len(result.FailedKeys) > 0
+	endedJobs := endedJobs(result.FailedKeys)
+	pageFailed := !fenced && len(result.FailedKeys) > len(endedJobs)
+	earlierSendCommitted := result.Ambiguous && pageFailed
 	written := AttemptsWritten{
 		Shard:         w.Shard,
 		FencingToken:  w.FencingToken,
 		Seq:           w.Seq,
 		Committed:     result.Committed || earlierSendCommitted,
 		Fenced:        fenced,
-		NeverExecuted: !result.Committed && !result.Ambiguous && len(result.FailedKeys) == 0,
+		EndedJobs:     endedJobs,
+		NeverExecuted: !result.Committed && !result.Ambiguous && !fenced && !pageFailed,
 		TooLarge:      result.Rejected,
 	}
 	if result.Committed {
@@ -46,6 +55,16 @@
 	return written
 }
 
+// endedJobs returns the jobs whose keys are among the keys of failed conditions.
+func endedJobs(failedKeys []string) (jobs []string) {
+	for _, key := range failedKeys {
+		if job, ok := strings.CutPrefix(key, cluster.JobKeyPrefix); ok {
+			jobs = append(jobs, job)
+		}
+	}
+	return jobs
+}
+
 // Txn returns the transaction that writes the new page and deletes the replaced ones. Its conditions are the version
 // of the shard's key and that the new page does not exist, so that a copy of the transaction that is applied late does
 // not restore the page over a newer page.
--- a/wire/users.go
+++ b/wire/users.go
@@ -94,6 +94,9 @@
 	// the offered tasks are placed (internal/rebalancer). It is omitted when rebalancing is off, and versions that do
 	// not know it ignore it.
 	FleetLoad float64 `json:"-" msgpack:",omitempty"`
+	// KeyVersion is only sent between controllers. In an offer it is the version of the job's key in the store, which
+	// exists until the job ends or is cancelled. Versions that do not know it ignore it and omit it.
+	KeyVersion uint64 `json:"-" msgpack:",omitempty"`
 }
 
 // IsService reports whether the job is a service, whose replicas run until the job is cancelled.
