Shard: the conditions of a write stay below the size of a transaction

Cause: conditions on jobs count against the 64 KiB of a transaction beside 56 KiB of values; with txn_ops of 100 and more there could be some 300 of them, which the state service would reject. Change: at most 48 jobs have conditions in one write. Measured: TestJobConditionsFitTransaction, now with 2, 8 and 200 operations, passes; package shard passes.

--- a/internal/shard/attempt_writer.go
+++ b/internal/shard/attempt_writer.go
@@ -10,8 +10,11 @@
 // conditionsPerTxnOp is how many conditions a transaction may have for each put or delete that it may have.
 const conditionsPerTxnOp = 4
 
-// maxTxnBytes limits the total size of the values in one transaction.
-const maxTxnBytes = 56 << 10
+// Limits of one transaction, which may have 64 KiB altogether. Each condition takes up to 70 bytes.
+const (
+	maxTxnBytes      = 56 << 10 // of the values
+	maxJobConditions = 48
+)
 
 // attemptWriter adds new records to the pages of an attempt log, starting with the pages that have the fewest
 // attempts.
@@ -68,8 +71,11 @@
 
 // maxJobs returns how many jobs may have conditions, beside those of the shard and of as many pages as a transaction
 // may write.
-func (w *attemptWriter) maxJobs() int { return (conditionsPerTxnOp-1)*w.limits.txnOps - 1 }
+func (w *attemptWriter) maxJobs() int {
+	return min((conditionsPerTxnOp-1)*w.limits.txnOps-1, maxJobConditions)
+}
 
+// addRecord puts an attempt's record on the open page, or on the next one if the open page is full.
 func (w *attemptWriter) addRecord(a *taskAttempt) error {
 	for {
 		if w.pager != nil {
--- a/internal/shard/attempt_writer_test.go
+++ b/internal/shard/attempt_writer_test.go
@@ -1,6 +1,8 @@
 package shard
 
 import (
+	"encoding/json"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -117,22 +119,33 @@
 	}
 }
 
-// A write has no more conditions than a transaction may have. The tasks of further jobs are left to the next write.
+// A write has no more conditions than a transaction may have, and no more bytes. The tasks of further jobs are left to
+// the next write.
 func TestJobConditionsFitTransaction(t *testing.T) {
-	h := newTestHolder(t)
-	h.Step(now, heartbeat("m1", 1, testToken))
-	const jobs = 60
-	var offers []peer.TaskOffer
-	for i := range jobs {
-		job := wire.Job{Ref: "j-" + strconv.Itoa(100_000+i), Team: "red", CPUs: 0.01, Spot: true, Tasks: 1, KeyVersion: 9}
-		offers = append(offers, peer.TaskOffer{Job: job, TaskIndexes: []int{0}})
-	}
-	write := firstEffect[WriteAttempts](t, h.Step(now, orders(peer.ShardOrders{OfferSeq: 1, Offers: offers})))
-	txn, err := write.Txn()
-	if limit := conditionsPerTxnOp * h.params.MaxTxnOps; err != nil || len(txn.Conditions) > limit || len(write.Jobs) < limit/2 {
-		t.Errorf("%d conditions for %d jobs, error %v; want at most %d", len(txn.Conditions), len(write.Jobs), err, limit)
-	}
-	if placed := len(h.shards[0].log.pendingWrite.attempts); placed != len(write.Jobs) {
-		t.Errorf("%d tasks placed with conditions on %d jobs, want one each", placed, len(write.Jobs))
+	const jobs, maxBytes = 300, 64 << 10
+	for _, txnOps := range []int{2, 8, 200} {
+		h := newTestHolder(t)
+		h.params.MaxTxnOps, h.params.MaxValueBytes = txnOps, 900
+		h.Step(now, heartbeat("m1", 1, testToken))
+		var offers []peer.TaskOffer
+		for i := range jobs {
+			job := wire.Job{Ref: "j-" + strconv.Itoa(100_000_000_000_000_000+i), Team: "red", CPUs: 0.01, Spot: true,
+				Tasks: 1, KeyVersion: math.MaxUint64}
+			offers = append(offers, peer.TaskOffer{Job: job, TaskIndexes: []int{0}})
+		}
+		write := firstEffect[WriteAttempts](t, h.Step(now, orders(peer.ShardOrders{OfferSeq: 1, Offers: offers})))
+		txn, err := write.Txn()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if limit := conditionsPerTxnOp * txnOps; len(txn.Conditions) > limit || len(write.Jobs) < min(limit/2, maxJobConditions) {
+			t.Errorf("%d operations: %d conditions for %d jobs, want at most %d", txnOps, len(txn.Conditions), len(write.Jobs), limit)
+		}
+		if raw, err := json.Marshal(txn); err != nil || len(raw) > maxBytes {
+			t.Errorf("%d operations: transaction of %d bytes, error %v; want at most %d", txnOps, len(raw), err, maxBytes)
+		}
+		if placed := len(h.shards[0].log.pendingWrite.attempts); placed != len(write.Jobs) {
+			t.Errorf("%d operations: %d tasks placed with conditions on %d jobs, want one each", txnOps, placed, len(write.Jobs))
+		}
 	}
 }
