Fair share, shard: one record of what is unserved, one meaning of isNew, one digest an offer

That a job has waited too long stood in its queue entry and, for services, in a map beside it. isNew meant a page in the attempt writer's state and a job's condition in one of its functions. A long image name was digested twice for each offer. Change: TeamQueue.unserved serves both questions; the page's flag is pageIsNew; the auction takes the name from the record.

--- a/internal/leader/fairshare/policy.go
+++ b/internal/leader/fairshare/policy.go
@@ -38,23 +38,19 @@
 			team := p.Teams[j.Spec.Team]
 			team.Name = j.Spec.Team
 			q = &TeamQueue{team: team, usage: usage, minShare: p.MinShare, cpusByClass: map[string]float64{},
-				unservedServices: map[string]bool{}}
+				unserved: map[string]bool{}}
 			byTeam[j.Spec.Team] = q
 		}
 		age := (pass.TimeOfDay - j.AcceptedAt).Seconds()
 		waitedLong := age > p.StartWithinS
 		q.countDispatched(j, waitedLong)
 		updateUnservedSince(pass.Now, q, j)
-		if j.Spec.IsService() && j.IsUnserved(pass.Now) {
-			q.unservedServices[j.Spec.Ref] = true
+		if j.IsUnserved(pass.Now) {
+			q.unserved[j.Spec.Ref] = true
 		}
 		if j.Waiting() > 0 && !j.Failures.InBackoff(pass.Now) && !j.IsCancelled() {
-			q.entries = append(q.entries, &entry{
-				job:        j,
-				order:      p.order(age, j, table),
-				waitedLong: waitedLong && !j.Failures.Suspect(),
-				unserved:   j.IsUnserved(pass.Now),
-			})
+			q.entries = append(q.entries,
+				&entry{job: j, order: p.order(age, j, table), waitedLong: waitedLong && !j.Failures.Suspect()})
 		}
 	}
 	var queues []*TeamQueue
--- a/internal/leader/fairshare/queue.go
+++ b/internal/leader/fairshare/queue.go
@@ -13,7 +13,6 @@
 	job        *jobs.Job
 	order      jobOrder
 	waitedLong bool // waited longer than StartWithinS: such jobs have a minimum share
-	unserved   bool // waited so long for free capacity that no other job of the team may hold it back
 	exhausted  bool // no more of the job's tasks can be dispatched in this pass
 }
 
@@ -34,8 +33,9 @@
 	// services. Neither kind may starve the other.
 	serviceUsage ResourceUsage
 	hasOtherJobs bool
-	// unservedServices has the services that have waited so long that no share is kept from them.
-	unservedServices map[string]bool
+	// unserved has, by reference, the jobs that have waited for free capacity for so long that neither another job of
+	// the team nor the minimum share may keep them waiting any longer.
+	unserved map[string]bool
 
 	// nextEntry is the job whose turn it is within the team. The entry changes only after a turn of the team.
 	nextEntry   *entry
@@ -67,7 +67,7 @@
 // while, and never a service of which not even one task leaves the share. ServiceFits always reports true for a job
 // that is no service.
 func (q *TeamQueue) ServiceFits(job *wire.Job, serviceCPUs float64) bool {
-	if !job.IsService() || !q.hasOtherJobs || q.unservedServices[job.Ref] {
+	if !job.IsService() || !q.hasOtherJobs || q.unserved[job.Ref] {
 		return true
 	}
 	limit := q.team.CPULimit()*(1-q.minShare) + tolerance
@@ -136,7 +136,7 @@
 		return
 	}
 	for _, e := range q.entries {
-		isHeldBack := e.order.priorityRank > unfit.order.priorityRank && !e.unserved
+		isHeldBack := e.order.priorityRank > unfit.order.priorityRank && !q.unserved[e.job.Spec.Ref]
 		e.exhausted = e.exhausted || isHeldBack
 	}
 }
--- a/internal/shard/attempt_writer.go
+++ b/internal/shard/attempt_writer.go
@@ -19,15 +19,15 @@
 // attemptWriter adds new records to the pages of an attempt log, starting with the pages that have the fewest
 // attempts.
 type attemptWriter struct {
-	log      *attemptLog
-	limits   storeLimits
-	reusable []*attemptPage // emptiest first
-	write    *attemptWrite
-	jobs     []JobCondition // of the jobs of the new records
-	puts     []PageWrite
-	pager    *peer.AttemptPager // pager of the open page, which is the write's last page; nil if no page is open
-	added    int                // new records on the open page
-	isNew    bool               // the open page is not part of the log yet
+	log       *attemptLog
+	limits    storeLimits
+	reusable  []*attemptPage // emptiest first
+	write     *attemptWrite
+	jobs      []JobCondition // of the jobs of the new records
+	puts      []PageWrite
+	pager     *peer.AttemptPager // pager of the open page, which is the write's last page; nil if no page is open
+	added     int                // new records on the open page
+	pageIsNew bool               // the open page is not part of the log yet
 }
 
 // newWriter returns a writer for the next write. Nothing may be added to the writer while another write is in flight.
@@ -114,7 +114,7 @@
 
 // nextPage opens the next page, which keeps the records that are already on it.
 func (w *attemptWriter) nextPage() {
-	w.added, w.isNew = 0, false
+	w.added, w.pageIsNew = 0, false
 	w.pager = w.newPager()
 	if len(w.reusable) > 0 {
 		page := w.reusable[0]
@@ -126,7 +126,7 @@
 		w.reusable = nil
 		w.pager = w.newPager()
 	}
-	w.isNew = true
+	w.pageIsNew = true
 	w.write.pages = append(w.write.pages, w.log.newPage(w.log.fencingToken))
 }
 
@@ -137,7 +137,7 @@
 // closePage adds the open page to the transaction.
 func (w *attemptWriter) closePage() {
 	page := w.openPage()
-	if w.isNew {
+	if w.pageIsNew {
 		w.log.pages = append(w.log.pages, page)
 	}
 	page.storedRecords = w.pager.Len()
--- a/internal/shard/held_shard.go
+++ b/internal/shard/held_shard.go
@@ -39,12 +39,11 @@
 
 func newHeldShard(id int, lease shardLease) *heldShard {
 	return &heldShard{
-		id:       id,
-		lease:    lease,
-		machines: map[string]*machine{},
-		attempts: attemptTable{byTask: map[peer.Task][]*taskAttempt{}, unreportedEnds: map[peer.Task]int{}},
-		log:      attemptLog{shard: id, fencingToken: lease.fencingToken, keyVersion: lease.keyVersion},
-
+		id:        id,
+		lease:     lease,
+		machines:  map[string]*machine{},
+		attempts:  attemptTable{byTask: map[peer.Task][]*taskAttempt{}, unreportedEnds: map[peer.Task]int{}},
+		log:       attemptLog{shard: id, fencingToken: lease.fencingToken, keyVersion: lease.keyVersion},
 		endedJobs: map[string]bool{},
 	}
 }
--- a/internal/shard/placement_cycle.go
+++ b/internal/shard/placement_cycle.go
@@ -32,8 +32,9 @@
 	jobs := make(map[*placement.Group]offeredJob, len(offers))
 	for i := range offers {
 		job := &offers[i].Job
-		groups[i] = s.placementGroup(&offers[i])
-		jobs[groups[i]] = offeredJob{record: attemptGroup(job), keyVersion: job.KeyVersion}
+		record := attemptGroup(job)
+		groups[i] = s.placementGroup(&offers[i], record.Image)
+		jobs[groups[i]] = offeredJob{record: record, keyVersion: job.KeyVersion}
 		if !s.endedJobs[job.Ref] {
 			running = append(running, groups[i])
 		}
@@ -103,13 +104,13 @@
 	return machines
 }
 
-// placementGroup returns offered tasks in the form that the auction needs.
-func (s *heldShard) placementGroup(offer *peer.TaskOffer) *placement.Group {
+// placementGroup returns offered tasks in the form that the auction needs. image is the recorded name of their image.
+func (s *heldShard) placementGroup(offer *peer.TaskOffer, image string) *placement.Group {
 	job := &offer.Job
 	group := &placement.Group{
 		Job:         job.Ref,
 		TaskIndexes: offer.TaskIndexes,
-		Image:       peer.RecordedImage(job.Image),
+		Image:       image,
 		Zone:        job.Zone,
 		Types:       job.Types,
 		Spot:        job.Spot,
