Review: case 6, the count of running tasks grows with each hand-over of a shard

Change: review/6 kills a controller that does not lead while six tasks run, starts it again, and compares the answers with what runs.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,3 +4,4 @@
 cd "$(dirname "$0")/.."
 go build -o target/review-4 ./review/4
 go build -o target/review-5 ./review/5
+go build -o target/review-6 ./review/6
--- a/review/stage/controller.go
+++ b/review/stage/controller.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"swiftledge/internal/config"
+	"swiftledge/internal/peer"
 )
 
 // Controller is one controller of a site, a process of its own.
@@ -172,3 +173,23 @@
 	}
 	c.site.Record.Printf("log of %s:\n%s", c.Name, raw)
 }
+
+// Follower returns a controller that does not lead, or nil if none tells that it leads.
+func (s *Site) Follower() (follower *Controller) {
+	leads := false
+	for _, c := range s.Controllers {
+		answer, err := peer.FetchStatus(c.PeerAddress)
+		if err != nil {
+			return nil
+		}
+		if answer.IsLeader {
+			leads = true
+		} else {
+			follower = c
+		}
+	}
+	if !leads {
+		return nil
+	}
+	return follower
+}
--- a/review/stage/site.go
+++ b/review/stage/site.go
@@ -233,3 +233,11 @@
 	defer s.mutex.Unlock()
 	return s.lost[ref]
 }
+
+// Running returns how many tasks of a job run now.
+func (s *Site) Running(ref string) (count int) {
+	for _, worker := range s.Cloud.Workers() {
+		count += worker.State().Active[ref]
+	}
+	return count
+}
