--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,3 +5,4 @@
 go build -o target/review-4 ./review/4
 go build -o target/review-5 ./review/5
 go build -o target/review-6 ./review/6
+go build -o target/review-7 ./review/7
