Review: the stand-ins keep only what the scripts use

Cause: faults and a site for trials that became no case were left in review/stage. Change: late transactions, stops of a process and a second site are out; nothing that the four scripts play has changed.

--- a/review/stage/controller.go
+++ b/review/stage/controller.go
@@ -11,7 +11,6 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
-	"syscall"
 	"time"
 
 	"swiftledge/internal/config"
@@ -138,18 +137,6 @@
 	}
 }
 
-// Stop lets the process stand still until Continue, while its clocks run on.
-func (c *Controller) Stop() error {
-	c.site.Record.Printf("%s: stands still", c.Name)
-	return c.process.Process.Signal(syscall.SIGSTOP)
-}
-
-// Continue lets the process go on.
-func (c *Controller) Continue() error {
-	c.site.Record.Printf("%s: goes on", c.Name)
-	return c.process.Process.Signal(syscall.SIGCONT)
-}
-
 // WaitUntilReady waits until the controller answers, at most for the given time.
 func (c *Controller) WaitUntilReady(limit time.Duration) bool {
 	client := &http.Client{Timeout: time.Second}
--- a/review/stage/site.go
+++ b/review/stage/site.go
@@ -48,29 +48,6 @@
 	}
 }
 
-// Race returns a small deployment like that of the brief's first operator: three controllers, one zone, one type of
-// machine, and the state service with the lowest write limit.
-func Race() Config {
-	zones := []string{"lima-norte"}
-	return Config{
-		Controllers: 3,
-		Zones:       zones,
-		Teams: []config.Team{
-			{Name: "cronometristas-00", CPUs: 8, CPUsMax: 70},
-			{Name: "cronometristas-01", CPUs: 8, CPUsMax: 70},
-		},
-		Types: []wire.MachineType{{
-			Name: "quena", CPUs: 4, MemoryGB: 8, CacheGB: 60, FetchGBPS: 0.5, Price: 0.26, SpotPrice: 0.09, BootS: 5,
-			ZoneNames: zones,
-		}},
-		Capacity: 20,
-		ReportS:  3, LeaseS: 22, CancelS: 52,
-		FetchS:   0.5,
-		State:    StateLimits{RPS: 100, WriteRPS: 15, ValueKB: 4, TxnOps: 8, Latency: 6 * time.Millisecond},
-		CloudRPS: 5, ListLagS: 8, MemMB: 125,
-	}
-}
-
 // Site is a site of stand-ins and controllers.
 type Site struct {
 	Config      Config
@@ -111,7 +88,7 @@
 	s := &Site{
 		Config: cfg, Record: record, clock: steady, outputs: fake.NewOutputs(), jobs: map[string]*Submitted{},
 		lost:  map[string]int{},
-		State: NewState(cfg.State, steady, record), Cloud: newCloud(cfg.Types, cfg.Capacity, steady, record),
+		State: NewState(cfg.State, steady), Cloud: newCloud(cfg.Types, cfg.Capacity, steady, record),
 	}
 	var err error
 	if s.directory, err = os.MkdirTemp("", "review-"); err != nil {
--- a/review/stage/state.go
+++ b/review/stage/state.go
@@ -18,20 +18,18 @@
 	Latency time.Duration
 }
 
-// State is the state service. Its faults may be changed at any time through the methods.
+// State is the state service.
 type State struct {
 	Address string
 
 	limits StateLimits
 	clock  clock.Steady
-	record *Record
 
 	mutex    sync.Mutex
 	store    *fake.Store
 	changed  chan struct{} // closed at the next change
 	requests bucket
 	writes   bucket
-	late     func(txn wire.Txn) (delay time.Duration, isLate bool)
 }
 
 // bucket allows a rate with bursts of one second's worth.
@@ -51,29 +49,15 @@
 }
 
 // NewState returns an empty state service.
-func NewState(limits StateLimits, steady clock.Steady, record *Record) *State {
+func NewState(limits StateLimits, steady clock.Steady) *State {
 	return &State{
-		limits: limits, clock: steady, record: record,
+		limits: limits, clock: steady,
 		store: fake.NewStore(limits.ValueKB, limits.TxnOps), changed: make(chan struct{}),
 		requests: bucket{rate: limits.RPS, level: limits.RPS},
 		writes:   bucket{rate: limits.WriteRPS, level: limits.WriteRPS},
 	}
 }
 
-// SetLate sets which transactions get no answer and are carried out late, after the delay. With nil, none are.
-func (s *State) SetLate(late func(txn wire.Txn) (delay time.Duration, isLate bool)) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.late = late
-}
-
-// Get returns the item of a key.
-func (s *State) Get(key string) (wire.Item, bool) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.store.Get(key)
-}
-
 // admit reports whether a request with a number of writes is within the limits.
 func (s *State) admit(writes int) bool {
 	s.mutex.Lock()
@@ -82,16 +66,6 @@
 	return s.requests.take(now, 1) && s.writes.take(now, float64(writes))
 }
 
-// lateness returns how late a transaction is carried out, and whether it is late at all.
-func (s *State) lateness(txn wire.Txn) (time.Duration, bool) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if s.late == nil {
-		return 0, false
-	}
-	return s.late(txn)
-}
-
 // execute carries out a transaction.
 func (s *State) execute(txn wire.Txn) (result store.TxnResult, problem string) {
 	s.mutex.Lock()
--- a/review/stage/state_http.go
+++ b/review/stage/state_http.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"swiftledge/internal/clock"
@@ -93,11 +92,6 @@
 		w.WriteHeader(http.StatusTooManyRequests)
 		return
 	}
-	if delay, isLate := s.lateness(txn); isLate {
-		go s.executeLate(txn, delay)
-		<-r.Context().Done() // the client gives up
-		drop()
-	}
 	time.Sleep(s.limits.Latency / 2)
 	result, problem := s.execute(txn)
 	time.Sleep(s.limits.Latency / 2)
@@ -111,23 +105,6 @@
 	}
 }
 
-// executeLate carries out a transaction after a delay. Nobody gets its answer.
-func (s *State) executeLate(txn wire.Txn, delay time.Duration) {
-	time.Sleep(delay)
-	result, problem := s.execute(txn)
-	s.record.Printf("state service: carried out %v late: %s committed=%v %s", delay, writtenKeys(txn), result.Committed,
-		problem)
-}
-
-// writtenKeys returns the keys that a transaction writes.
-func writtenKeys(txn wire.Txn) string {
-	var keys []string
-	for _, write := range txn.Writes {
-		keys = append(keys, write.Put+write.Delete)
-	}
-	return strings.Join(keys, ",")
-}
-
 func (s *State) serveGrant(r *http.Request) (int, any) {
 	var request wire.LeaseRequest
 	if !decodeRequest(r, &request) {
