JSON: a field that differs from a known one in case alone is unknown

All decoders (encoding/json, goccy/go-json) match field names without regard to case, so that every receiver, of users, agents, the cloud, the state service and the settings, took unknown fields for known ones. A submission that lacked a field was accepted, a sound one could get 400 or 422. The linter refuses the other decoders outside tests. The users of the scenarios and the fakes of the loopback site were as lenient and decode exactly now. Names are matched in one place, so that no form can be left out.

--- a/internal/api/feasibility.go
+++ b/internal/api/feasibility.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"slices"
 
+	"swiftledge/internal/exactjson"
 	"swiftledge/internal/leader"
 	"swiftledge/internal/store"
 	"swiftledge/wire"
@@ -36,7 +36,7 @@
 	defer cancel()
 	item, err := s.options.Store.Get(ctx, store.PriorityReads, leader.CatalogKey)
 	var catalog wire.Catalog
-	if err != nil || json.Unmarshal(item.Value, &catalog) != nil {
+	if err != nil || exactjson.Unmarshal(item.Value, &catalog) != nil {
 		return nil
 	}
 	s.options.Jobs.Post(catalogRead{catalog.Types})
--- a/internal/api/handlers.go
+++ b/internal/api/handlers.go
@@ -5,9 +5,9 @@
 	"strconv"
 	"strings"
 
-	"github.com/goccy/go-json"
 	"github.com/gofiber/fiber/v3"
 
+	"swiftledge/internal/exactjson"
 	"swiftledge/internal/trace"
 	"swiftledge/wire"
 )
@@ -75,7 +75,7 @@
 func (s *Service) serveHeartbeat(c fiber.Ctx) error {
 	s.heartbeats.wait()
 	heartbeat := &wire.Heartbeat{}
-	if err := json.Unmarshal(c.Body(), heartbeat); err != nil {
+	if err := exactjson.Unmarshal(c.Body(), heartbeat); err != nil {
 		return fiber.NewError(fiber.StatusBadRequest, "report: "+decodeErrorText(err))
 	}
 	reply := s.options.HandleHeartbeat(heartbeat)
--- a/internal/api/service.go
+++ b/internal/api/service.go
@@ -12,6 +12,7 @@
 
 	"swiftledge/internal/clock"
 	"swiftledge/internal/config"
+	"swiftledge/internal/exactjson"
 	"swiftledge/internal/shard"
 	"swiftledge/internal/store"
 	"swiftledge/internal/trace"
@@ -83,7 +84,7 @@
 		Concurrency:  s.options.Config.MaxHTTPConnections(),
 		ErrorHandler: writeError,
 		JSONEncoder:  json.Marshal,
-		JSONDecoder:  json.Unmarshal,
+		JSONDecoder:  exactjson.Unmarshal,
 	})
 	app.Post("/agent/beat", s.serveHeartbeat)
 	app.Post("/api/jobs", s.serveSubmit)
--- a/internal/api/service_test.go
+++ b/internal/api/service_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"reflect"
 	"strconv"
 	"strings"
 	"sync"
@@ -56,7 +57,12 @@
 	t *testing.T, cfg *config.Config, reply shard.HeartbeatReply,
 ) (send func(request string) *fasthttp.Response) {
 	t.Helper()
-	s := newHeartbeatService(t, cfg, func(*wire.Heartbeat) shard.HeartbeatReply { return reply })
+	return startListening(t, newHeartbeatService(t, cfg, func(*wire.Heartbeat) shard.HeartbeatReply { return reply }))
+}
+
+// startListening starts a service. It returns a function that sends a request to the service on a new connection.
+func startListening(t *testing.T, s *Service) (send func(request string) *fasthttp.Response) {
+	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -82,7 +88,11 @@
 
 // heartbeatRequest returns an agent's heartbeat as an HTTP request.
 func heartbeatRequest() string {
-	body := `{"rig":"host-000001","stint":1,"tally":1}`
+	return heartbeatRequestWith(`{"rig":"host-000001","stint":1,"tally":1}`)
+}
+
+// heartbeatRequestWith returns an HTTP request with the given body of a heartbeat.
+func heartbeatRequestWith(body string) string {
 	return "POST /agent/beat HTTP/1.1\r\nHost: a\r\nContent-Type: application/json\r\n" +
 		"Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
 }
@@ -137,3 +147,23 @@
 		}
 	}
 }
+
+// TestUnknownFieldsOfHeartbeatAreIgnored guards against a field that differs from a known one in case alone being taken
+// for it: the heartbeat would be that of another machine, or be refused.
+func TestUnknownFieldsOfHeartbeatAreIgnored(t *testing.T) {
+	received := make(chan wire.Heartbeat, 1)
+	s := newHeartbeatService(t, fewSocketsConfig(), func(heartbeat *wire.Heartbeat) shard.HeartbeatReply {
+		received <- *heartbeat
+		return shard.HeartbeatReply{Status: 200}
+	})
+	body := `{"rig":"host-000001","stint":1,"tally":1,"lots":[{"lot":"j-000412/3","try":2,"status":"running","Try":9,"Cause":"done"}],
+		"Rig":"host-000002","STINT":9,"Tally":"x","Baton":7,"Lots":[]}`
+	if response := startListening(t, s)(heartbeatRequestWith(body)); response.StatusCode() != 200 {
+		t.Fatalf("response was %d %s, want 200", response.StatusCode(), response.Body())
+	}
+	want := wire.Heartbeat{Machine: "host-000001", AgentEpoch: 1, Seq: 1,
+		Tasks: []wire.TaskStatus{{Task: "j-000412/3", Attempt: 2, State: wire.TaskRunning}}}
+	if got := <-received; !reflect.DeepEqual(got, want) {
+		t.Errorf("heartbeat was taken for %+v, want %+v", got, want)
+	}
+}
--- a/internal/api/status.go
+++ b/internal/api/status.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 
 	"swiftledge/internal/clock"
+	"swiftledge/internal/exactjson"
 	"swiftledge/internal/leader"
 	"swiftledge/internal/store"
 	"swiftledge/wire"
@@ -57,7 +57,7 @@
 		return Result{}, err
 	}
 	var final leader.FinalStateRecord
-	if err := json.Unmarshal(item.Value, &final); err != nil {
+	if err := exactjson.Unmarshal(item.Value, &final); err != nil {
 		return Result{}, err
 	}
 	s.options.Jobs.Post(jobEnded{ref, final})
--- a/internal/api/validate.go
+++ b/internal/api/validate.go
@@ -1,7 +1,6 @@
 package api
 
 import (
-	"encoding/json"
 	"errors"
 	"net/http"
 	"reflect"
@@ -10,6 +9,7 @@
 
 	"github.com/go-playground/validator/v10"
 
+	"swiftledge/internal/exactjson"
 	"swiftledge/wire"
 )
 
@@ -41,7 +41,7 @@
 // decode returns the job of a valid submission, or else the rejection.
 func (v submissionValidator) decode(body []byte) (wire.Job, *rejection) {
 	var submission wire.JobSubmission
-	if err := json.Unmarshal(body, &submission); err != nil {
+	if err := exactjson.Unmarshal(body, &submission); err != nil {
 		return wire.Job{}, &rejection{extractRef(body), http.StatusBadRequest, "not a job: " + decodeErrorText(err)}
 	}
 	if reason := v.invalidFieldReason(&submission); reason != "" {
@@ -60,7 +60,7 @@
 		Ref string `json:"ref"`
 	}
 	// The decoder sets the fields that it reads before an error. An empty reference names no job.
-	_ = json.Unmarshal(body, &submission)
+	_ = exactjson.Unmarshal(body, &submission)
 	return submission.Ref
 }
 
--- a/internal/cloud/client.go
+++ b/internal/cloud/client.go
@@ -11,10 +11,10 @@
 	"net/url"
 	"time"
 
-	"github.com/goccy/go-json"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/time/rate"
 
+	"swiftledge/internal/exactjson"
 	"swiftledge/internal/jsonhttp"
 	"swiftledge/wire"
 )
@@ -109,7 +109,7 @@
 	if response == nil {
 		return nil
 	}
-	if err := json.Unmarshal(httpResponse.Body(), response); err != nil {
+	if err := exactjson.Unmarshal(httpResponse.Body(), response); err != nil {
 		return call.newError(ErrOutcomeUnknown, fmt.Errorf("decode response: %w", err))
 	}
 	return nil
--- a/internal/cloud/client_test.go
+++ b/internal/cloud/client_test.go
@@ -120,3 +120,32 @@
 		t.Errorf("error %v, want ErrNotExecuted and context.Canceled", err)
 	}
 }
+
+// TestUnknownFieldsOfAnswersAreIgnored guards against a field that differs from a known one in case alone being taken for
+// it: the client would believe in machines that it does not have, or in a lack of capacity.
+func TestUnknownFieldsOfAnswersAreIgnored(t *testing.T) {
+	client := startClient(t, func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/catalog":
+			fmt.Fprint(w, `{"breeds":[{"sku":"g8","cpus":8,"Cpus":64,"SKU":"g9"}],"Breeds":[]}`)
+		case "/hosts":
+			if r.Method == http.MethodGet {
+				fmt.Fprint(w, `{"rigs":[{"ref":"host-000231","Ref":"host-000232"}],"more":false,"More":true,"RIGS":[]}`)
+				return
+			}
+			w.WriteHeader(http.StatusServiceUnavailable)
+			fmt.Fprint(w, `{"error":"trouble","Error":"no capacity"}`)
+		}
+	})
+	catalog, err := client.Catalog(t.Context())
+	if err != nil || len(catalog.Types) != 1 || catalog.Types[0].Name != "g8" || catalog.Types[0].CPUs != 8 {
+		t.Errorf("catalog: %+v, error %v, want type g8 with 8 CPUs", catalog, err)
+	}
+	page, err := client.List(t.Context(), "")
+	if err != nil || len(page.Machines) != 1 || page.Machines[0].Name != "host-000231" || page.More {
+		t.Errorf("list: page %+v, error %v, want the last page, with host-000231", page, err)
+	}
+	if _, err := client.Provision(t.Context(), wire.ProvisionRequest{}); err == nil || errors.Is(err, ErrNoCapacity) {
+		t.Errorf("provision: error %v, want an outage", err)
+	}
+}
--- a/internal/cloud/errors.go
+++ b/internal/cloud/errors.go
@@ -4,9 +4,9 @@
 	"errors"
 	"fmt"
 
-	"github.com/goccy/go-json"
 	"github.com/valyala/fasthttp"
 
+	"swiftledge/internal/exactjson"
 	"swiftledge/wire"
 )
 
@@ -80,5 +80,5 @@
 // isNoCapacity reports whether the body of an error response says that capacity is lacking, as opposed to an outage.
 func isNoCapacity(body []byte) bool {
 	var response wire.ErrorResponse
-	return json.Unmarshal(body, &response) == nil && response.Error == "no capacity"
+	return exactjson.Unmarshal(body, &response) == nil && response.Error == "no capacity"
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -31,6 +31,9 @@
 		{"valid", validSettings, "", ""},
 		{"valid with tuning", validSettings, "placement: {k: 0.5}", ""},
 		{"valid without tuning", validSettings, "", ""},
+		// Unknown fields are ignored, also those that differ from a known one in case alone.
+		{"unknown field", strings.Replace(validSettings, `"site":"a"`, `"site":"a","Site":7,"FACTS":{},"endpointS":0`, 1), "", ""},
+		{"field in another case", strings.Replace(validSettings, `"host_name"`, `"Host_Name"`, 1), "", "host_name"},
 		{"no host name", strings.Replace(validSettings, `"host_name":"c0",`, "", 1), "", "host_name"},
 		{"invalid address", strings.Replace(validSettings, "127.0.0.1:4", "nowhere", 1), "", "endpoints.state"},
 		{"no teams", strings.Replace(validSettings, `"teams"`, `"crews"`, 1), "", "facts.teams"},
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -11,6 +11,8 @@
 
 	"github.com/go-playground/validator/v10"
 	"go.yaml.in/yaml/v3"
+
+	"swiftledge/internal/exactjson"
 )
 
 // Load reads and validates the platform's file and the operators' files, of which there may be none.
@@ -31,8 +33,8 @@
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
-	if err := json.Unmarshal(raw, s); err != nil {
-		return fmt.Errorf("settings %s: %w", file, withoutNamedStrings(err))
+	if err := exactjson.Unmarshal(raw, s); err != nil {
+		return fmt.Errorf("settings %s: %w", file, withStandardText(err, raw))
 	}
 	if err := validateStruct(*s, "json"); err != nil {
 		return fmt.Errorf("settings %s: %w", file, err)
@@ -40,14 +42,19 @@
 	return nil
 }
 
-// withoutNamedStrings replaces a named string type with string in a JSON type error. Operators know the error text
-// from versions that had no such types.
-func withoutNamedStrings(err error) error {
+// withStandardText returns the error of encoding/json, whose text operators know, for settings that cannot be decoded.
+// It replaces a named string type with string, as operators know the text from versions that had no such types.
+func withStandardText(err error, raw []byte) error {
+	//nolint:forbidigo // only the text of the error is used
+	standardErr := json.Unmarshal(raw, &Settings{})
+	if standardErr == nil {
+		return err
+	}
 	var typeError *json.UnmarshalTypeError
-	if errors.As(err, &typeError) && typeError.Type.Kind() == reflect.String {
+	if errors.As(standardErr, &typeError) && typeError.Type.Kind() == reflect.String {
 		typeError.Type = reflect.TypeFor[string]()
 	}
-	return err
+	return standardErr
 }
 
 // loadTuning applies the operators' files to the defaults, in order. It validates the result after each file, so
--- a/internal/controller/agent_client.go
+++ b/internal/controller/agent_client.go
@@ -7,10 +7,10 @@
 	"net/http"
 	"time"
 
-	"github.com/goccy/go-json"
 	"github.com/valyala/fasthttp"
 
 	"swiftledge/internal/config"
+	"swiftledge/internal/exactjson"
 	"swiftledge/internal/jsonhttp"
 	"swiftledge/internal/shard"
 	"swiftledge/wire"
@@ -121,7 +121,7 @@
 // machine.
 func decodeStatus(body []byte, machine string) *wire.Heartbeat {
 	var heartbeat wire.Heartbeat
-	if json.Unmarshal(body, &heartbeat) != nil || heartbeat.Machine != machine {
+	if exactjson.Unmarshal(body, &heartbeat) != nil || heartbeat.Machine != machine {
 		return nil
 	}
 	return &heartbeat
--- a/internal/election/leader_key.go
+++ b/internal/election/leader_key.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"swiftledge/internal/cluster"
+	"swiftledge/internal/exactjson"
 	"swiftledge/wire"
 )
 
@@ -36,7 +37,7 @@
 	if item.Version == 0 {
 		return observed, nil
 	}
-	if err := json.Unmarshal(item.Value, &observed.Record); err != nil {
+	if err := exactjson.Unmarshal(item.Value, &observed.Record); err != nil {
 		return observed, fmt.Errorf("decode leader record: %w", err)
 	}
 	return observed, nil
--- a/internal/leader/job_lifecycle.go
+++ b/internal/leader/job_lifecycle.go
@@ -3,9 +3,8 @@
 import (
 	"strings"
 
-	"github.com/goccy/go-json"
-
 	"swiftledge/internal/clock"
+	"swiftledge/internal/exactjson"
 	"swiftledge/internal/leader/jobs"
 	"swiftledge/internal/peer"
 	"swiftledge/internal/shard"
@@ -135,7 +134,7 @@
 	}
 	job.StopFinishing()
 	var record FinalStateRecord
-	if !m.Found || json.Unmarshal(m.Item.Value, &record) != nil {
+	if !m.Found || exactjson.Unmarshal(m.Item.Value, &record) != nil {
 		return
 	}
 	if record.State == wire.JobDone {
--- a/internal/leader/shard_grants.go
+++ b/internal/leader/shard_grants.go
@@ -4,9 +4,8 @@
 	"maps"
 	"slices"
 
-	"github.com/goccy/go-json"
-
 	"swiftledge/internal/cluster"
+	"swiftledge/internal/exactjson"
 	"swiftledge/internal/peer"
 	"swiftledge/internal/shard"
 	"swiftledge/internal/store"
@@ -214,7 +213,7 @@
 		}
 		lease.keyVersion = m.Item.Version
 		var record ShardRecord
-		if m.Found && json.Unmarshal(m.Item.Value, &record) == nil && record.FencingToken == token {
+		if m.Found && exactjson.Unmarshal(m.Item.Value, &record) == nil && record.FencingToken == token {
 			lease.state = reading
 			l.emit(LoadAttempts{l.term, id, token})
 		} else {
--- a/internal/leader/store_writes.go
+++ b/internal/leader/store_writes.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"swiftledge/internal/clock"
+	"swiftledge/internal/exactjson"
 	"swiftledge/internal/store"
 	"swiftledge/wire"
 )
@@ -27,7 +28,7 @@
 
 // decode decodes a stored record. It logs a record that cannot be decoded, and leaves the record in the store as it is.
 func decode[T any](l *Leader, item wire.Item) (v T, ok bool) {
-	if err := json.Unmarshal(item.Value, &v); err != nil {
+	if err := exactjson.Unmarshal(item.Value, &v); err != nil {
 		l.info("cannot decode stored record", "key", item.Key, "error", err)
 		return v, false
 	}
--- a/internal/loopback/client.go
+++ b/internal/loopback/client.go
@@ -9,6 +9,7 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/valyala/fasthttp"
 
+	"swiftledge/internal/exactjson"
 	"swiftledge/internal/peer"
 	"swiftledge/internal/status"
 	"swiftledge/wire"
@@ -90,7 +91,7 @@
 func (c *Cluster) JobState(controller *Controller, ref string) wire.JobState {
 	code, body, err := c.client.GetTimeout(nil, controller.jobsURL()+"/"+ref, jobStatusTimeout)
 	var jobStatus wire.JobStatus
-	if err != nil || code != fiber.StatusOK || json.Unmarshal(body, &jobStatus) != nil {
+	if err != nil || code != fiber.StatusOK || exactjson.Unmarshal(body, &jobStatus) != nil {
 		return ""
 	}
 	return jobStatus.State
--- a/internal/loopback/machine.go
+++ b/internal/loopback/machine.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"swiftledge/internal/clock"
+	"swiftledge/internal/exactjson"
 	"swiftledge/internal/fake"
 	"swiftledge/wire"
 )
@@ -150,9 +151,9 @@
 	result := heartbeatResult{status: res.StatusCode()}
 	switch result.status {
 	case fiber.StatusOK:
-		err = json.Unmarshal(res.Body(), &result.response)
+		err = exactjson.Unmarshal(res.Body(), &result.response)
 	case fiber.StatusMisdirectedRequest:
-		err = json.Unmarshal(res.Body(), &result.redirect)
+		err = exactjson.Unmarshal(res.Body(), &result.redirect)
 	}
 	if err != nil {
 		return heartbeatResult{}
--- a/internal/loopback/services.go
+++ b/internal/loopback/services.go
@@ -1,11 +1,12 @@
 package loopback
 
 import (
-	"encoding/json"
 	"net"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
+
+	"swiftledge/internal/exactjson"
 )
 
 // shutdownTimeout bounds the time that a service waits for open requests when it stops.
@@ -36,7 +37,7 @@
 // decodeBody decodes the JSON body of a request. The error makes the service answer 400 if the body is
 // malformed.
 func decodeBody[T any](c fiber.Ctx) (body T, err error) {
-	if json.Unmarshal(c.Body(), &body) != nil {
+	if exactjson.Unmarshal(c.Body(), &body) != nil {
 		return body, fiber.NewError(fiber.StatusBadRequest, "malformed")
 	}
 	return body, nil
--- a/internal/peer/store_transport.go
+++ b/internal/peer/store_transport.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"net"
 	"strings"
@@ -10,6 +9,7 @@
 	"time"
 
 	"swiftledge/internal/clock"
+	"swiftledge/internal/exactjson"
 	"swiftledge/internal/store"
 )
 
@@ -182,7 +182,7 @@
 		succeeded = true
 		for _, event := range response.Events {
 			var f frame
-			if event.Put != "" && json.Unmarshal(event.Value, &f) == nil {
+			if event.Put != "" && exactjson.Unmarshal(event.Value, &f) == nil {
 				t.post(frameReceived{sender: strings.TrimPrefix(event.Put, prefix), frame: f})
 			}
 		}
--- a/internal/scenario/history_test.go
+++ b/internal/scenario/history_test.go
@@ -1,10 +1,10 @@
 package scenario
 
 import (
-	"encoding/json"
 	"slices"
 	"strings"
 
+	"swiftledge/internal/exactjson"
 	"swiftledge/internal/fake"
 	"swiftledge/internal/leader"
 	"swiftledge/internal/leader/jobs"
@@ -107,7 +107,7 @@
 		delete(h.progress, key)
 		if value != nil {
 			var r jobs.ProgressRecord
-			must(json.Unmarshal(value, &r))
+			must(exactjson.Unmarshal(value, &r))
 			h.progress[key] = r
 		}
 	}
@@ -134,7 +134,7 @@
 func (h *history) applyInstanceGroup(key string, value []byte) {
 	var r leader.InstanceGroupRecord
 	if value != nil {
-		must(json.Unmarshal(value, &r))
+		must(exactjson.Unmarshal(value, &r))
 	}
 	h.inventory.put(key, r.Machines)
 }
--- a/internal/scenario/users_test.go
+++ b/internal/scenario/users_test.go
@@ -1,11 +1,11 @@
 package scenario
 
 import (
-	"encoding/json"
 	"fmt"
 
 	"swiftledge/internal/api"
 	"swiftledge/internal/clock"
+	"swiftledge/internal/exactjson"
 	"swiftledge/wire"
 )
 
@@ -48,13 +48,13 @@
 func (w *world) submit(c *simController, body []byte) string {
 	r := c.submitJob(body)
 	var j wire.Job
-	if json.Unmarshal(body, &j) == nil {
+	if exactjson.Unmarshal(body, &j) == nil {
 		w.checkReply(j.Ref, r)
 	}
 	if r.Code >= 400 {
 		return fmt.Sprintf("%d %s", r.Code, r.Reason)
 	}
-	must(json.Unmarshal(body, &j))
+	must(exactjson.Unmarshal(body, &j))
 	w.users.jobs[j.Ref] = j
 	if _, ok := w.users.acceptedAt[j.Ref]; !ok {
 		w.users.acceptedAt[j.Ref] = w.now
--- a/internal/shard/store_txns.go
+++ b/internal/shard/store_txns.go
@@ -7,6 +7,7 @@
 	"github.com/goccy/go-json"
 
 	"swiftledge/internal/cluster"
+	"swiftledge/internal/exactjson"
 	"swiftledge/internal/peer"
 	"swiftledge/internal/store"
 	"swiftledge/wire"
@@ -107,7 +108,7 @@
 	pages := make(map[string]peer.AttemptPage, len(items))
 	for _, item := range items {
 		var page peer.AttemptPage
-		err := json.Unmarshal(item.Value, &page)
+		err := exactjson.Unmarshal(item.Value, &page)
 		if err == nil {
 			err = page.Validate()
 		}
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -12,9 +12,9 @@
 	"fmt"
 	"time"
 
-	"github.com/goccy/go-json"
 	"github.com/valyala/fasthttp"
 
+	"swiftledge/internal/exactjson"
 	"swiftledge/internal/jsonhttp"
 )
 
@@ -106,7 +106,7 @@
 	if response == nil || len(httpResponse.Body()) == 0 || limited || unavailable {
 		return status, nil
 	}
-	if err := json.Unmarshal(httpResponse.Body(), response); err != nil {
+	if err := exactjson.Unmarshal(httpResponse.Body(), response); err != nil {
 		return status, r.newError(ErrOutcomeUnknown, fmt.Errorf("decode response: %w", err))
 	}
 	return status, nil
--- a/internal/store/client_test.go
+++ b/internal/store/client_test.go
@@ -169,3 +169,15 @@
 		t.Errorf("%d of %d submissions were sent before the lease renewal, want at most three quarters", sentBefore, submissions)
 	}
 }
+
+// TestUnknownFieldsOfAnswersAreIgnored guards against a field that differs from a known one in case alone being taken for
+// it: the client would believe in another version or value of a key.
+func TestUnknownFieldsOfAnswersAreIgnored(t *testing.T) {
+	client := startClient(t, Budget{RequestsPerSecond: 100, WritesPerSecond: 100}, func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, `{"path":"a","v":1,"stamp":7,"V":2,"Stamp":9,"PATH":"b","Tenure":"x"}`)
+	})
+	item, err := client.Get(t.Context(), PriorityReads, "a")
+	if err != nil || item.Key != "a" || string(item.Value) != "1" || item.Version != 7 {
+		t.Errorf("got item %+v, error %v, want version 7 of key a with the value 1", item, err)
+	}
+}
