Leader: a task that is granted again is counted as running once

Cause: after a crash of a controller that does not lead, users were told of 12 running tasks of 6 until the term ended. A shard's new grant replaced its tasks by those of the attempt records, left the old ones that ran in the job's count, and counted each again when the new holder reported it. The run of a replica began anew with each grant, too. Change: one place counts a task in and out. An attempt that ran on the machine of its record runs on under the new grant. A controller that connects gets the counts reported last, as it was never told of counts that do not change; counts of a former leader are ignored; a new leader holds back the counts of jobs with tasks on which no holder has reported; a replica that completes beside a stale record no longer counts.

--- a/internal/api/job_cache.go
+++ b/internal/api/job_cache.go
@@ -157,6 +157,9 @@
 	if m.RenewedSeq > 0 && m.StoreOK && m.Term == s.term {
 		s.lastLeaderContact = postedAt
 	}
+	if m.Term < s.term {
+		return // the counts of a former leader are out of date
+	}
 	for _, count := range m.TaskCounts {
 		s.taskCounts.put(count.Job, count)
 	}
--- a/internal/api/job_cache_test.go
+++ b/internal/api/job_cache_test.go
@@ -96,3 +96,18 @@
 		t.Errorf("machine types %+v after a message with two types, want these two", types)
 	}
 }
+
+// TestTaskCountsOfFormerLeaderAreIgnored guards against a late message of a former leader that replaces newer counts.
+func TestTaskCountsOfFormerLeaderAreIgnored(t *testing.T) {
+	s := newTestCacheState()
+	s.handle(LeaderChanged{Term: 7, Controller: "c1"}, clock.Second)
+	for _, message := range []peer.FromLeader{
+		{Term: 7, TaskCounts: []peer.TaskCount{{Job: testRef, Running: 6}}},
+		{Term: 6, TaskCounts: []peer.TaskCount{{Job: testRef, Running: 12}}},
+	} {
+		s.handle(LeaderMessage{&message}, clock.Second)
+	}
+	if count := s.view(testRef, clock.Second).Count; count.Running != 6 {
+		t.Errorf("%d tasks told as running, want the 6 of the current leader", count.Running)
+	}
+}
--- a/internal/leader/holder_messages.go
+++ b/internal/leader/holder_messages.go
@@ -83,8 +83,9 @@
 
 // reportTaskCounts sends the changed task counts of jobs to all connected controllers, which answer the status requests
 // of users.
-func (l *Leader) reportTaskCounts() {
-	counts := l.jobs.ChangedCounts()
+func (l *Leader) reportTaskCounts(now clock.Micros) {
+	confirmationTime := confirmationHeartbeats * clock.FromSeconds(l.cfg.Facts.Workers.ReportS)
+	counts := l.jobs.ChangedCounts(now < l.startedAt+confirmationTime)
 	if len(counts) == 0 {
 		return
 	}
@@ -105,7 +106,9 @@
 			lease.state = unassigned
 		}
 	}
-	l.emit(SendToHolder{m.Link, peer.FromLeader{Term: l.term, Types: l.autoscaler.catalog, Holders: l.shardHolders()}})
+	// The controller may have missed counts that have not changed since, or have lost all of them in a restart.
+	l.emit(SendToHolder{m.Link, peer.FromLeader{Term: l.term, Types: l.autoscaler.catalog, Holders: l.shardHolders(),
+		TaskCounts: l.jobs.ReportedCounts()}})
 }
 
 // controllersByName returns the connected controllers in a fixed order, so that the same state gives the same effects.
--- a/internal/leader/jobs/job.go
+++ b/internal/leader/jobs/job.go
@@ -25,13 +25,16 @@
 	TaskShape  TaskShape     // resources and placement that the job's tasks need
 	Failures   *failures.Job // task failures by machine
 
-	progress   []chunk
-	completed  int
-	running    int
-	waiting    waitingTasks
-	dispatched map[int]int          // tasks in shard grants, with the number of grants
-	delayed    map[int]clock.Micros // tasks in backoff, with the time of the next try
-	replicas   map[int]*replica     // replicas of a service that have ended at least once
+	progress  []chunk
+	completed int
+	running   int
+	// unconfirmed counts the tasks in shard grants that are known from records of an earlier term alone, so that it is
+	// unknown whether they run.
+	unconfirmed int
+	waiting     waitingTasks
+	dispatched  map[int]int          // tasks in shard grants, with the number of grants
+	delayed     map[int]clock.Micros // tasks in backoff, with the time of the next try
+	replicas    map[int]*replica     // replicas of a service that have ended at least once
 
 	unservedSince clock.Micros // see SetUnservedSince
 	cancelled     bool
@@ -171,6 +174,12 @@
 // MarkStopped records that a running task has stopped.
 func (j *Job) MarkStopped() { j.running-- }
 
+// AddUnconfirmed records that one more task in a shard grant is known from records of an earlier term alone.
+func (j *Job) AddUnconfirmed() { j.unconfirmed++ }
+
+// RemoveUnconfirmed records that it is known of one such task whether it runs.
+func (j *Job) RemoveUnconfirmed() { j.unconfirmed-- }
+
 // Delay takes a task out of the queue until the given time.
 func (j *Job) Delay(task int, until clock.Micros) {
 	j.delayed[task] = until
--- a/internal/leader/jobs/job_test.go
+++ b/internal/leader/jobs/job_test.go
@@ -173,14 +173,19 @@
 func TestChangedCounts(t *testing.T) {
 	table := NewTable()
 	j := addJob(table, "j-000001", 2)
-	if got := table.ChangedCounts(); len(got) != 1 {
+	if got := table.ChangedCounts(false); len(got) != 1 {
 		t.Errorf("changed counts %v after a job was added, want one", got)
 	}
-	if got := table.ChangedCounts(); len(got) != 0 {
+	if got := table.ChangedCounts(false); len(got) != 0 {
 		t.Errorf("changed counts %v on a call without changes, want none", got)
 	}
 	j.MarkRunning()
-	if got := table.ChangedCounts(); len(got) != 1 || got[0].Running != 1 {
+	j.AddUnconfirmed()
+	if got := table.ChangedCounts(true); len(got) != 0 {
+		t.Errorf("changed counts %v while a task was unconfirmed, want none", got)
+	}
+	j.RemoveUnconfirmed()
+	if got := table.ChangedCounts(true); len(got) != 1 || got[0].Running != 1 {
 		t.Errorf("changed counts %v after a task started running, want one with one running task", got)
 	}
 }
--- a/internal/leader/jobs/table.go
+++ b/internal/leader/jobs/table.go
@@ -110,10 +110,13 @@
 }
 
 // ChangedCounts returns the task counts of the jobs whose counts have changed since the last call, sorted by
-// reference.
-func (t *Table) ChangedCounts() []peer.TaskCount {
+// reference. With onlyConfirmed, it leaves out the jobs with tasks of which it is unknown whether they run.
+func (t *Table) ChangedCounts(onlyConfirmed bool) []peer.TaskCount {
 	var changed []peer.TaskCount
 	for j := range t.Sorted() {
+		if onlyConfirmed && j.unconfirmed > 0 {
+			continue
+		}
 		count := peer.TaskCount{Job: j.Spec.Ref, Done: j.completed, Running: j.running}
 		if t.reportedCounts[count.Job] != count {
 			t.reportedCounts[count.Job] = count
@@ -122,3 +125,12 @@
 	}
 	return changed
 }
+
+// ReportedCounts returns the task counts that ChangedCounts has returned last for each job, sorted by reference.
+func (t *Table) ReportedCounts() []peer.TaskCount {
+	var counts []peer.TaskCount
+	for _, ref := range slices.Sorted(maps.Keys(t.reportedCounts)) {
+		counts = append(counts, t.reportedCounts[ref])
+	}
+	return counts
+}
--- a/internal/leader/shard_grants.go
+++ b/internal/leader/shard_grants.go
@@ -112,8 +112,8 @@
 	lease.unpersisted = nil
 	lease.offerPending = false
 	lease.orders = peer.ShardOrders{Shard: lease.ID, FencingToken: lease.token}
-	for _, task := range old {
-		l.usage.Release(task.team, task.resources())
+	for t, task := range old {
+		l.uncount(t, task)
 	}
 	for _, key := range slices.Sorted(maps.Keys(pages)) {
 		page := pages[key]
@@ -138,26 +138,34 @@
 }
 
 // addFromAttempt adds the task of one attempt record to a shard's grant. old has the tasks of the shard's previous
-// grant. A task whose job is cancelled or unknown is ordered to stop.
+// grant. An attempt that ran under that grant still counts as running: the new holder says when it has ended. A task
+// whose job is cancelled or unknown is ordered to stop.
 func (l *Leader) addFromAttempt(
 	lease *shardLease, group *peer.AttemptGroup, record peer.AttemptRecord, old map[peer.Task]*grantedTask,
 ) {
 	t := peer.Task{Job: group.Job, Index: record.Index}
-	if lease.tasks[t] != nil {
-		return
-	}
-	task := &grantedTask{team: group.Team, cpus: group.CPUs, gpus: group.GPUs, machine: record.Machine, inherited: true}
-	if m := l.inventory.machines[record.Machine]; m != nil {
-		task.zone = m.option.Zone
-	}
-	lease.tasks[t] = task
-	l.usage.Charge(task.team, task.resources())
-	job := l.jobs.OfTask(t)
-	if old[t] == nil && job != nil {
-		job.MarkDispatched(t.Index)
+	former := old[t]
+	task := lease.tasks[t]
+	if task == nil {
+		task = &grantedTask{team: group.Team, cpus: group.CPUs, gpus: group.GPUs, inherited: true}
+		l.setMachine(task, record.Machine)
+		lease.tasks[t] = task
+		l.usage.Charge(task.team, task.resources())
+		job := l.jobs.OfTask(t)
+		if former == nil && job != nil {
+			job.MarkDispatched(t.Index)
+		}
+		if job != nil && (former == nil || former.unconfirmed) {
+			task.unconfirmed = true
+			job.AddUnconfirmed()
+		}
+		if job == nil || job.IsCancelled() {
+			lease.orders.Stop = append(lease.orders.Stop, peer.StopTask{Task: t})
+		}
 	}
-	if job == nil || job.IsCancelled() {
-		lease.orders.Stop = append(lease.orders.Stop, peer.StopTask{Task: t})
+	if former != nil && former.running && former.machine == record.Machine && !task.running {
+		l.setMachine(task, record.Machine)
+		l.markRunning(t, task, former.runningSince)
 	}
 }
 
@@ -193,16 +201,6 @@
 	}
 }
 
-// releaseTask removes a task from a shard's grant and returns the task, or nil if the grant does not contain it.
-func (l *Leader) releaseTask(lease *shardLease, t peer.Task) *grantedTask {
-	task := lease.tasks[t]
-	if task != nil {
-		delete(lease.tasks, t)
-		l.usage.Release(task.team, task.resources())
-	}
-	return task
-}
-
 // shardKeyRead handles the read of a shard's key after a write of the key that was not reported as committed. The key
 // has the fencing token of that write if an attempt of the write was applied without an answer.
 func (l *Leader) shardKeyRead(tag shardsTag, m KeyRead) {
--- a/internal/leader/shard_table.go
+++ b/internal/leader/shard_table.go
@@ -4,7 +4,6 @@
 	"swiftledge/internal/clock"
 	"swiftledge/internal/cluster"
 	"swiftledge/internal/leader/assignment"
-	"swiftledge/internal/leader/fairshare"
 	"swiftledge/internal/peer"
 	"swiftledge/wire"
 )
@@ -115,30 +114,6 @@
 	granted                      // the shard is granted to its holder
 )
 
-// grantedTask is a task in a shard grant: the task was offered to the shard's holder, or an attempt record of the shard
-// names it, so the holder may run the task. The task leaves the grant when the holder reports that it has completed,
-// failed, found no machine, or is released, that is, on no machine of the shard. Until then the task counts fully
-// towards the usage of its team.
-type grantedTask struct {
-	team               string
-	cpus, gpus         float64
-	zone               string
-	running            bool
-	otherAttemptMayRun bool         // one of several attempts has ended, and another may still run
-	inherited          bool         // known from the attempt records of an earlier grant
-	runningSince       clock.Micros // when the task was first reported as running
-	machine            string
-	assignedAt         clock.Micros // when the task was assigned to its machine; 0 if unknown
-	imageCached        bool         // whether the machine had the task's image cached at that time, as far as known
-	stopReason         string       // why the task was ordered to stop; "" if it was not
-	stoppedAt          clock.Micros
-}
-
-// resources returns the resources that the task takes.
-func (t *grantedTask) resources() fairshare.ResourceUsage {
-	return fairshare.ResourceUsage{CPUs: t.cpus, GPUs: t.gpus}
-}
-
 // shardLease is the lease of one shard.
 type shardLease struct {
 	assignment.Shard
--- a/internal/leader/task_events.go
+++ b/internal/leader/task_events.go
@@ -12,21 +12,16 @@
 	switch event.Kind {
 	case peer.EventAssigned:
 		if task := lease.tasks[event.Task]; task != nil {
-			task.machine = event.Machine
-			if m := l.inventory.machines[event.Machine]; m != nil {
-				task.zone = m.option.Zone
-			}
+			l.setMachine(task, event.Machine)
 			l.attemptAssigned(now, event.Task, task)
 		}
 	case peer.EventRunning:
 		if task := lease.tasks[event.Task]; task != nil && !task.running {
-			task.running, task.runningSince, task.machine = true, now, event.Machine
+			task.machine = event.Machine
+			l.markRunning(event.Task, task, now)
 			l.attemptRunning(now, event.Task, task)
-			if job != nil {
-				job.MarkRunning()
-				if job.Spec.IsService() {
-					l.replicaStarted(now, job, event.Task, task)
-				}
+			if job != nil && job.Spec.IsService() {
+				l.replicaStarted(now, job, event.Task, task)
 			}
 		}
 	case peer.EventAttemptRemains:
@@ -46,9 +41,6 @@
 // the shard's grant.
 func (l *Leader) taskEnded(now clock.Micros, lease *shardLease, job *jobs.Job, event peer.TaskEvent) {
 	task := l.releaseTask(lease, event.Task)
-	if task != nil && task.running && job != nil {
-		job.MarkStopped()
-	}
 	l.attemptEnded(now, event, task)
 	switch {
 	case event.Kind == peer.EventCompleted:
@@ -69,12 +61,13 @@
 func (l *Leader) replicaEnded(now clock.Micros, lease *shardLease, job *jobs.Job, event peer.TaskEvent) {
 	if task := lease.tasks[event.Task]; task != nil && task.otherAttemptMayRun && event.Kind == peer.EventCompleted {
 		task.otherAttemptMayRun = false
+		if task.running {
+			task.running = false
+			job.MarkStopped()
+		}
 		return
 	}
 	task := l.releaseTask(lease, event.Task)
-	if task != nil && task.running {
-		job.MarkStopped()
-	}
 	if event.Kind == peer.EventCompleted {
 		// The agent keeps the attempt in its list until its machine has confirmed a higher fencing token, as a delayed
 		// copy of the attempt's run command would otherwise start the attempt again.
--- a/internal/leader/tick.go
+++ b/internal/leader/tick.go
@@ -5,6 +5,10 @@
 const (
 	// countsReportInterval is the time between two reports of task counts to the controllers.
 	countsReportInterval = clock.Second
+	// confirmationHeartbeats is the number of heartbeat intervals from the start of a term in which holders report on
+	// the tasks that were recorded in earlier terms. Until then, controllers keep the counts of the term before for the
+	// jobs of these tasks.
+	confirmationHeartbeats = 2
 )
 
 // tick performs the periodic work that is due.
@@ -27,7 +31,7 @@
 	l.rebalance(now)
 	if now-l.countsReportedAt >= countsReportInterval {
 		l.countsReportedAt = now
-		l.reportTaskCounts()
+		l.reportTaskCounts(now)
 	}
 	if now-l.stateLoggedAt >= stateLogInterval {
 		l.stateLoggedAt = now
--- a/internal/scenario/commands_jobs_test.go
+++ b/internal/scenario/commands_jobs_test.go
@@ -50,6 +50,20 @@
 	return string(r.Status.State)
 }
 
+// countsCommand returns how many of a job's tasks run, and how many of them each controller tells.
+func countsCommand(t *testing.T, w *world, d *datadriven.TestData) string {
+	ref := arg(t, d, "ref", "")
+	told := fmt.Sprintf("running %d;", w.countActive(ref))
+	for _, c := range w.controllers {
+		if !c.isResponsive() {
+			continue
+		}
+		r := w.checkReply(ref, c.lookUpJob(ref))
+		told += fmt.Sprintf(" %s: %s %d", c.name, r.Status.State, r.Status.Running)
+	}
+	return told
+}
+
 // cancelCommand cancels a job and returns its state, or the code of an error response.
 func cancelCommand(t *testing.T, w *world, d *datadriven.TestData) string {
 	ref := arg(t, d, "ref", "")
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -79,6 +79,7 @@
 		"run":               runCommand,
 		"completed_jobs":    completedJobsCommand,
 		"start":             startCommand,
+		"counts":            countsCommand,
 		"status":            statusCommand,
 		"store":             storeCommand,
 		"submit":            submitCommand,
