--- a/internal/leader/demand.go
+++ b/internal/leader/demand.go
@@ -119,7 +119,7 @@
 		demand.addTasks(job, "", replicas)
 		return
 	}
-	placed := l.zonesOf(job)
+	placed := zonesOf(job)
 	for _, zone := range slices.Sorted(maps.Keys(placed.taskCounts)) {
 		demand.addTasks(job, zone, placed.taskCounts[zone])
 		replicas -= placed.taskCounts[zone]
--- a/internal/leader/failure_attribution.go
+++ b/internal/leader/failure_attribution.go
@@ -110,9 +110,16 @@
 	return suspects
 }
 
+// stabilityCheckInterval is the minimum time between two searches for a stable replica of a service.
+const stabilityCheckInterval = clock.Second
+
 // hasStableReplica reports whether a replica of a service has run stably. If so, failures of the service's replicas are
-// attributed to their machines.
+// attributed to their machines. It looks at all replicas at most once in stabilityCheckInterval, as many thousands of
+// them may fail at the same time, and reports false in between.
 func (l *Leader) hasStableReplica(now clock.Micros, job *jobs.Job) (stable bool) {
+	if job.Running() == 0 || !job.StartStabilityCheck(now, stabilityCheckInterval) {
+		return false
+	}
 	l.eachDispatchedTask(job, func(_ peer.Task, task *grantedTask) {
 		stable = stable || task.running && now-task.runningSince > jobs.StableAfter
 	})
--- a/internal/leader/free_capacity.go
+++ b/internal/leader/free_capacity.go
@@ -25,6 +25,8 @@
 	// avoided maps a job to the machines that its next task should avoid, and why. For a service they include the
 	// machines on which a replica is offered in this pass.
 	avoided map[string]map[string]int
+	// weakestReason maps a job to the weakest reason to avoid a machine that its tasks can still meet; see leastAvoided.
+	weakestReason map[string]int
 }
 
 // Reasons for a job's next task to avoid a machine, the weaker first.
@@ -72,8 +74,8 @@
 // freeCapacity returns the free capacity that can be offered now.
 func (l *Leader) freeCapacity(now clock.Micros) *freeCapacity {
 	capacity := &freeCapacity{now: now, byImage: map[string][]*machine{}, skipped: map[candidateKey]int{},
-		avoided: map[string]map[string]int{},
-		bound:   l.newLoadBound(), overBound: map[candidateKey]overBoundMark{}}
+		avoided: map[string]map[string]int{}, weakestReason: map[string]int{},
+		bound: l.newLoadBound(), overBound: map[candidateKey]overBoundMark{}}
 	for _, m := range l.inventory.machines {
 		m.freeCPUs, m.freeGPUs, m.freeMemory = m.state.CPUs, m.state.GPUs, m.state.MemoryGB
 		m.freeTasks = wire.MaxTasksPerHeartbeat - m.state.Tasks
--- a/internal/leader/granted_task.go
+++ b/internal/leader/granted_task.go
@@ -3,6 +3,7 @@
 import (
 	"swiftledge/internal/clock"
 	"swiftledge/internal/leader/fairshare"
+	"swiftledge/internal/leader/jobs"
 	"swiftledge/internal/peer"
 )
 
@@ -11,6 +12,7 @@
 // failed, found no machine, or is released, that is, on no machine of the shard. Until then the task counts fully
 // towards the usage of its team.
 type grantedTask struct {
+	job                *jobs.Job // the job in whose counts the task is; nil if the job is unknown
 	team               string
 	cpus, gpus         float64
 	zone               string
@@ -31,38 +33,66 @@
 	return fairshare.ResourceUsage{CPUs: t.cpus, GPUs: t.gpus}
 }
 
-// setMachine records the machine to which a task is assigned, and the machine's zone.
+// grantTask adds a task to a shard's grant, to the usage of its team and to the counts of its job.
+func (l *Leader) grantTask(lease *shardLease, t peer.Task, task *grantedTask) {
+	lease.tasks[t] = task
+	l.usage.Charge(task.team, task.resources())
+	if task.job == nil {
+		return
+	}
+	task.job.AddToZone(task.zone)
+	if task.unconfirmed {
+		task.job.AddUnconfirmed()
+	}
+}
+
+// setMachine records the machine to which a task in a grant is assigned, and the machine's zone.
 func (l *Leader) setMachine(task *grantedTask, name string) {
 	task.machine = name
-	if m := l.inventory.machines[name]; m != nil {
-		task.zone = m.option.Zone
+	m := l.inventory.machines[name]
+	if m == nil || m.option.Zone == task.zone {
+		return
+	}
+	if task.job != nil {
+		task.job.RemoveFromZone(task.zone)
+		task.job.AddToZone(m.option.Zone)
+	}
+	task.zone = m.option.Zone
+}
+
+// markRunning records that the task runs, and counts it as running in its job.
+func (t *grantedTask) markRunning(since clock.Micros) {
+	t.running, t.runningSince = true, since
+	if t.job == nil {
+		return
+	}
+	t.job.MarkRunning()
+	if t.unconfirmed {
+		t.unconfirmed = false
+		t.job.RemoveUnconfirmed()
 	}
 }
 
-// markRunning records that a task in a grant runs, and counts it as running in its job.
-func (l *Leader) markRunning(t peer.Task, task *grantedTask, since clock.Micros) {
-	task.running, task.runningSince = true, since
-	if job := l.jobs.OfTask(t); job != nil {
-		job.MarkRunning()
-		if task.unconfirmed {
-			task.unconfirmed = false
-			job.RemoveUnconfirmed()
-		}
+// markStopped records that the task no longer runs, though it is still in its grant.
+func (t *grantedTask) markStopped() {
+	if t.running && t.job != nil {
+		t.job.MarkStopped()
 	}
+	t.running = false
 }
 
 // uncount takes a task that leaves a shard's grant out of the usage of its team and out of the counts of its job.
-func (l *Leader) uncount(t peer.Task, task *grantedTask) {
+func (l *Leader) uncount(task *grantedTask) {
 	l.usage.Release(task.team, task.resources())
-	job := l.jobs.OfTask(t)
-	if job == nil {
+	if task.job == nil {
 		return
 	}
+	task.job.RemoveFromZone(task.zone)
 	if task.running {
-		job.MarkStopped()
+		task.job.MarkStopped()
 	}
 	if task.unconfirmed {
-		job.RemoveUnconfirmed()
+		task.job.RemoveUnconfirmed()
 	}
 }
 
@@ -71,7 +101,7 @@
 	task := lease.tasks[t]
 	if task != nil {
 		delete(lease.tasks, t)
-		l.uncount(t, task)
+		l.uncount(task)
 	}
 	return task
 }
--- a/internal/leader/jobs/job.go
+++ b/internal/leader/jobs/job.go
@@ -34,8 +34,11 @@
 	waiting     waitingTasks
 	dispatched  map[int]int          // tasks in shard grants, with the number of grants
 	delayed     map[int]clock.Micros // tasks in backoff, with the time of the next try
+	zoneCounts  map[string]int       // tasks in shard grants by zone, with "" for an unknown zone
 	replicas    map[int]*replica     // replicas of a service that have ended at least once
 
+	stabilityCheckedAt clock.Micros // see StartStabilityCheck
+
 	unservedSince clock.Micros // see SetUnservedSince
 	cancelled     bool
 	finishing     bool // the write of the job's final state is in flight
@@ -59,6 +62,7 @@
 		waiting:    newWaitingTasks(spec.Tasks),
 		dispatched: map[int]int{},
 		delayed:    map[int]clock.Micros{},
+		zoneCounts: map[string]int{},
 		replicas:   map[int]*replica{},
 	}
 }
@@ -174,6 +178,19 @@
 // MarkStopped records that a running task has stopped.
 func (j *Job) MarkStopped() { j.running-- }
 
+// AddToZone records that one more task in a shard grant is in a zone, which is "" while the zone is unknown.
+func (j *Job) AddToZone(zone string) { j.zoneCounts[zone]++ }
+
+// RemoveFromZone records that a task in a shard grant is no longer in a zone.
+func (j *Job) RemoveFromZone(zone string) {
+	if j.zoneCounts[zone]--; j.zoneCounts[zone] <= 0 {
+		delete(j.zoneCounts, zone)
+	}
+}
+
+// TasksByZone returns a copy of the numbers of tasks in shard grants by zone.
+func (j *Job) TasksByZone() map[string]int { return maps.Clone(j.zoneCounts) }
+
 // AddUnconfirmed records that one more task in a shard grant is known from records of an earlier term alone.
 func (j *Job) AddUnconfirmed() { j.unconfirmed++ }
 
--- a/internal/leader/jobs/replica.go
+++ b/internal/leader/jobs/replica.go
@@ -72,6 +72,16 @@
 	return outage, true
 }
 
+// StartStabilityCheck reports whether the last search for a stable replica was at least the interval ago, and if so
+// records a new one.
+func (j *Job) StartStabilityCheck(now, interval clock.Micros) bool {
+	if j.stabilityCheckedAt > 0 && now-j.stabilityCheckedAt < interval {
+		return false
+	}
+	j.stabilityCheckedAt = now
+	return true
+}
+
 // AvoidsMachine reports whether a service avoids a machine because one of its replicas failed there recently.
 func (j *Job) AvoidsMachine(now clock.Micros, machine string) bool {
 	failedAt, failed := j.Failures.FailedOn(machine)
--- a/internal/leader/machine_choice.go
+++ b/internal/leader/machine_choice.go
@@ -44,7 +44,7 @@
 // machineInZone is machineFor for jobs whose tasks restrict each other's placement.
 func (l *Leader) machineInZone(job *jobs.Job, capacity *freeCapacity) (*machine, string) {
 	spec := &job.Spec
-	zones := l.zonesOf(job)
+	zones := zonesOf(job)
 	avoid := capacity.avoidedMachines(l, job)
 	best := capacity.leastAvoided(job, zones, avoid, capacity.bound)
 	if best == nil && capacity.bound != nil && !capacity.waitsForPendingOffer(job) {
@@ -60,11 +60,13 @@
 }
 
 // leastAvoided returns the machine with the weakest reason to avoid it, among the machines within the bound, for a job
-// whose tasks restrict each other's placement.
+// whose tasks restrict each other's placement. During a pass the free capacity only shrinks and reasons are only added.
+// So without a bound, no machine has a weaker reason than the one that the job's last task got.
 func (c *freeCapacity) leastAvoided(
 	job *jobs.Job, zones jobZones, avoid map[string]int, bound *loadBound,
 ) (best *machine) {
 	spec := &job.Spec
+	weakest := c.weakestReason[spec.Ref]
 	for _, list := range [][]*machine{c.byImage[spec.Image], c.machines} {
 		for _, m := range list {
 			if !m.fits(spec) || !m.allowed(c.now, job) || !zones.allows(m.option.Zone) || job.AvoidsMachine(c.now, m.name) ||
@@ -74,10 +76,13 @@
 			if best == nil || avoid[m.name] < avoid[best.name] {
 				best = m
 			}
-			if avoid[best.name] == 0 {
-				break
+			if avoid[best.name] <= weakest {
+				return best
 			}
 		}
 	}
+	if best != nil && bound == nil {
+		c.weakestReason[spec.Ref] = avoid[best.name]
+	}
 	return best
 }
--- a/internal/leader/preemption.go
+++ b/internal/leader/preemption.go
@@ -187,7 +187,7 @@
 // makeCapacityFor frees capacity for the waiting tasks of one job, for as many tasks as the job's team may run.
 func (p *preemptionPass) makeCapacityFor(queue *fairshare.TeamQueue, job *jobs.Job) {
 	spec := &job.Spec
-	zones := p.leader.zonesOf(job)
+	zones := zonesOf(job)
 	serviceCPUs := queue.ServiceCPUs()
 	for n := min(job.Waiting(), maxPreemptions); n > 0; n-- {
 		if !queue.ServiceFits(spec, serviceCPUs) {
--- a/internal/leader/schedule.go
+++ b/internal/leader/schedule.go
@@ -136,9 +136,8 @@
 func (o *offerRound) offer(job *jobs.Job, index int, m *machine, zone string) {
 	spec, lease := &job.Spec, m.shard
 	o.capacity.bound.reserve(m, spec)
-	task := &grantedTask{team: spec.Team, cpus: spec.CPUs, gpus: spec.GPUs, zone: zone}
-	lease.tasks[peer.Task{Job: spec.Ref, Index: index}] = task
-	o.usage.Charge(task.team, task.resources())
+	task := &grantedTask{job: job, team: spec.Team, cpus: spec.CPUs, gpus: spec.GPUs, zone: zone}
+	o.grantTask(lease, peer.Task{Job: spec.Ref, Index: index}, task)
 	key := offerKey{lease.ID, spec.Ref, zone}
 	position, ok := o.positions[key]
 	if !ok {
--- a/internal/leader/shard_grants.go
+++ b/internal/leader/shard_grants.go
@@ -112,8 +112,8 @@
 	lease.unpersisted = nil
 	lease.offerPending = false
 	lease.orders = peer.ShardOrders{Shard: lease.ID, FencingToken: lease.token}
-	for t, task := range old {
-		l.uncount(t, task)
+	for _, task := range old {
+		l.uncount(task)
 	}
 	for _, key := range slices.Sorted(maps.Keys(pages)) {
 		page := pages[key]
@@ -147,25 +147,21 @@
 	former := old[t]
 	task := lease.tasks[t]
 	if task == nil {
-		task = &grantedTask{team: group.Team, cpus: group.CPUs, gpus: group.GPUs, inherited: true}
-		l.setMachine(task, record.Machine)
-		lease.tasks[t] = task
-		l.usage.Charge(task.team, task.resources())
 		job := l.jobs.OfTask(t)
+		task = &grantedTask{job: job, team: group.Team, cpus: group.CPUs, gpus: group.GPUs, inherited: true}
+		task.unconfirmed = former == nil || former.unconfirmed
+		l.grantTask(lease, t, task)
+		l.setMachine(task, record.Machine)
 		if former == nil && job != nil {
 			job.MarkDispatched(t.Index)
 		}
-		if job != nil && (former == nil || former.unconfirmed) {
-			task.unconfirmed = true
-			job.AddUnconfirmed()
-		}
 		if job == nil || job.IsCancelled() {
 			lease.orders.Stop = append(lease.orders.Stop, peer.StopTask{Task: t})
 		}
 	}
 	if former != nil && former.running && former.machine == record.Machine && !task.running {
 		l.setMachine(task, record.Machine)
-		l.markRunning(t, task, former.runningSince)
+		task.markRunning(former.runningSince)
 	}
 }
 
--- a/internal/leader/task_events.go
+++ b/internal/leader/task_events.go
@@ -18,7 +18,7 @@
 	case peer.EventRunning:
 		if task := lease.tasks[event.Task]; task != nil && !task.running {
 			task.machine = event.Machine
-			l.markRunning(event.Task, task, now)
+			task.markRunning(now)
 			l.attemptRunning(now, event.Task, task)
 			if job != nil && job.Spec.IsService() {
 				l.replicaStarted(now, job, event.Task, task)
@@ -61,10 +61,7 @@
 func (l *Leader) replicaEnded(now clock.Micros, lease *shardLease, job *jobs.Job, event peer.TaskEvent) {
 	if task := lease.tasks[event.Task]; task != nil && task.otherAttemptMayRun && event.Kind == peer.EventCompleted {
 		task.otherAttemptMayRun = false
-		if task.running {
-			task.running = false
-			job.MarkStopped()
-		}
+		task.markStopped()
 		return
 	}
 	task := l.releaseTask(lease, event.Task)
--- a/internal/leader/zones.go
+++ b/internal/leader/zones.go
@@ -14,13 +14,11 @@
 
 // zonesOf counts the tasks of a job that are in shard grants, by zone. The count stays empty for a job whose tasks do
 // not restrict each other's zones, one without OneZone and Spread.
-func (l *Leader) zonesOf(job *jobs.Job) jobZones {
-	zones := jobZones{&job.Spec, map[string]int{}}
-	if !zones.job.OneZone && !zones.job.Spread {
-		return zones
+func zonesOf(job *jobs.Job) jobZones {
+	if !job.Spec.OneZone && !job.Spec.Spread {
+		return jobZones{&job.Spec, map[string]int{}}
 	}
-	l.eachDispatchedTask(job, func(_ peer.Task, task *grantedTask) { zones.taskCounts[task.zone]++ })
-	return zones
+	return jobZones{&job.Spec, job.TasksByZone()}
 }
 
 // eachDispatchedTask calls f for each task of the job in each shard grant that contains the task.
