Submissions: an empty list of machine types allows none, an empty zone is no zone

Cause: jobs with "breeds":[] and "paddock":"" were accepted with 201 and their tasks started, as an empty list was taken for null by the check of submissions, the leader, the holders' auction, the autoscaler and the key of a job's shape. Change: a list that is there and empty allows no type, everywhere; an empty zone gets 422.

--- a/internal/api/feasibility.go
+++ b/internal/api/feasibility.go
@@ -43,6 +43,9 @@
 	return catalog.Types
 }
 
+// fitsNowhere is the reason why a job is infeasible whose tasks no machine can take.
+const fitsNowhere = "a task fits no allowed machine type and zone"
+
 // infeasibleReason returns why a job can never run, regardless of the current machines and of how long the job waits.
 // It returns "" if the job can run.
 func (s *Service) infeasibleReason(job *wire.Job, types []wire.MachineType) string {
@@ -65,12 +68,12 @@
 			return ""
 		}
 	}
-	return "a task fits no allowed machine type and zone"
+	return fitsNowhere
 }
 
 // fitsMachineType reports whether one task of a job is allowed on, and fits, an empty machine of a type.
 func fitsMachineType(job *wire.Job, machineType *wire.MachineType) bool {
-	isAllowedType := len(job.Types) == 0 || slices.Contains(job.Types, machineType.Name)
+	isAllowedType := job.AllowsType(machineType.Name)
 	isAllowedZone := job.Zone == "" || slices.Contains(machineType.ZoneNames, job.Zone)
 	hasCapacity := job.CPUs <= machineType.CPUs && job.GPUs <= machineType.GPUs && job.MemoryGB <= machineType.MemoryGB
 	return isAllowedType && isAllowedZone && hasCapacity
--- a/internal/api/feasibility_test.go
+++ b/internal/api/feasibility_test.go
@@ -23,6 +23,7 @@
 		{"replicas without a limit", wire.Job{Ref: "j-000005", Team: "guest", CPUs: 4, Tasks: 3, Shape: wire.ShapeService}, 201},
 		{"a task that fits no machine", wire.Job{Ref: "j-000006", Team: "guest", CPUs: 5}, 422},
 		{"GPUs that no machine has", wire.Job{Ref: "j-000007", Team: "guest", CPUs: 1, GPUs: 1}, 422},
+		{"a list without machine types", wire.Job{Ref: "j-000009", Team: "guest", CPUs: 1, Types: []string{}}, 422},
 		{"an unknown team", wire.Job{Ref: "j-000008", Team: "nobody", CPUs: 1}, 422},
 	} {
 		c.job.Class, c.job.Priority, c.job.MemoryGB, c.job.Image, c.job.EstimateS = "l", wire.PriorityStandard, 1, "img", 10
--- a/internal/api/validate.go
+++ b/internal/api/validate.go
@@ -51,6 +51,10 @@
 		}
 		return wire.Job{}, &rejection{ref, http.StatusBadRequest, reason}
 	}
+	if submission.Zone != nil && *submission.Zone == "" {
+		// A job without a zone may run in any. No machine is in a zone without a name.
+		return wire.Job{}, &rejection{*submission.Ref, http.StatusUnprocessableEntity, fitsNowhere}
+	}
 	return submission.Job(), nil
 }
 
--- a/internal/autoscaler/option.go
+++ b/internal/autoscaler/option.go
@@ -77,7 +77,7 @@
 
 func (d *Demand) allows(option *Option) bool {
 	return (d.Spot || !option.Spot) && (d.Zone == "" || d.Zone == option.Zone) &&
-		(len(d.Types) == 0 || slices.Contains(d.Types, option.Type.Name))
+		(d.Types == nil || slices.Contains(d.Types, option.Type.Name))
 }
 
 // expectedUsageS is the assumed time in seconds for which a new machine is used. The boot time is billed, too, and its
--- a/internal/leader/free_capacity.go
+++ b/internal/leader/free_capacity.go
@@ -143,7 +143,7 @@
 	spec := &job.Spec
 	return (!m.cordoned || spec.IsService() || job.IsUnserved(now)) && (spec.Spot || !m.option.Spot) &&
 		(spec.Zone == "" || spec.Zone == m.option.Zone) &&
-		(len(spec.Types) == 0 || slices.Contains(spec.Types, m.option.Type.Name))
+		spec.AllowsType(m.option.Type.Name)
 }
 
 // firstFit returns the first machine of a list that can take a task of the job and on which no task of the job has
--- a/internal/leader/jobs/job.go
+++ b/internal/leader/jobs/job.go
@@ -56,7 +56,7 @@
 func New(spec wire.Job, acceptedAt clock.Micros, keyVersion uint64) *Job {
 	return &Job{
 		Spec: spec, AcceptedAt: acceptedAt, KeyVersion: keyVersion,
-		TaskShape:  TaskShape{spec.CPUs, spec.GPUs, spec.MemoryGB, fmt.Sprint(spec.Types), spec.Zone, spec.Spot},
+		TaskShape:  TaskShape{spec.CPUs, spec.GPUs, spec.MemoryGB, typesKey(spec.Types), spec.Zone, spec.Spot},
 		Failures:   &failures.Job{},
 		progress:   newChunks(spec.Tasks),
 		waiting:    newWaitingTasks(spec.Tasks),
@@ -67,6 +67,14 @@
 	}
 }
 
+// typesKey returns a text that differs for different lists of machine types. Without a list a job allows any type.
+func typesKey(types []string) string {
+	if types == nil {
+		return "any"
+	}
+	return fmt.Sprint(types)
+}
+
 // IsCompleted reports whether a task has completed.
 func (j *Job) IsCompleted(task int) bool {
 	return j.progress[task/TasksPerChunk].completed.has(task % TasksPerChunk)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -59,7 +59,7 @@
 	Image       string
 	ImageGB     float64
 	Zone        string   // "": any
-	Types       []string // machine types; none: any
+	Types       []string // machine types; nil: any
 	Spot        bool     // spot machines are allowed, too
 	Request     load.Resources
 	// AvoidRank has, by name, the machines that get a task of the group only when no other machine is left. Machines
@@ -73,7 +73,7 @@
 // Allows reports whether the group's constraints allow its tasks to run on a machine.
 func (g *Group) Allows(m *Machine) bool {
 	return (g.Spot || !m.Spot) && (g.Zone == "" || g.Zone == m.Zone) &&
-		(len(g.Types) == 0 || slices.Contains(g.Types, m.Type))
+		(g.Types == nil || slices.Contains(g.Types, m.Type))
 }
 
 // Match assigns a task to a machine.
--- a/internal/scenario/agent_test.go
+++ b/internal/scenario/agent_test.go
@@ -64,7 +64,7 @@
 
 // allowsJob reports whether the constraints of a job allow its tasks to run on the machine, regardless of free capacity.
 func (s *simAgent) allowsJob(j *wire.Job) bool {
-	return (j.Spot || !s.Spot) && (len(j.Types) == 0 || slices.Contains(j.Types, s.Type)) && (j.Zone == "" || j.Zone == s.Zone)
+	return (j.Spot || !s.Spot) && j.AllowsType(s.Type) && (j.Zone == "" || j.Zone == s.Zone)
 }
 
 // activeTasks counts a job's active tasks on the machine.
--- a/wire/users.go
+++ b/wire/users.go
@@ -1,5 +1,7 @@
 package wire
 
+import "slices"
+
 // The users' protocol: POST /api/jobs, GET /api/jobs/{ref} and POST /api/jobs/{ref}/abort. The tags below use these
 // words of the protocol for the following terms:
 //
@@ -99,6 +101,10 @@
 	KeyVersion uint64 `json:"-" msgpack:",omitempty"`
 }
 
+// AllowsType reports whether the job allows a machine type. Without a list of types it allows any, with an empty list
+// none.
+func (j *Job) AllowsType(name string) bool { return j.Types == nil || slices.Contains(j.Types, name) }
+
 // IsService reports whether the job is a service, whose replicas run until the job is cancelled.
 func (j *Job) IsService() bool { return j.Shape == ShapeService }
 
