Leader: missed task counts go to a controller in parts; shard: no probe without an epoch

Cause: found on reading the change again. A controller that connects got all task counts in one message, which through the state service holds up its grants; and a heartbeat with epoch 0 left a probe pending that was never sent. Change: missed counts go with the reports, 2,000 at a time, 50 through the state service. An agent without an epoch is not probed.

--- a/internal/leader/holder_messages.go
+++ b/internal/leader/holder_messages.go
@@ -85,12 +85,11 @@
 // of users.
 func (l *Leader) reportTaskCounts(now clock.Micros) {
 	confirmationTime := confirmationHeartbeats * clock.FromSeconds(l.cfg.Facts.Workers.ReportS)
-	counts := l.jobs.ChangedCounts(now < l.startedAt+confirmationTime)
-	if len(counts) == 0 {
-		return
-	}
+	changed := l.jobs.ChangedCounts(now < l.startedAt+confirmationTime)
 	for _, c := range l.controllersByName() {
-		l.emit(SendToHolder{c.link, peer.FromLeader{Term: l.term, TaskCounts: counts}})
+		if counts := append(c.takeMissedCounts(l.jobs), changed...); len(counts) > 0 {
+			l.emit(SendToHolder{c.link, peer.FromLeader{Term: l.term, TaskCounts: counts}})
+		}
 	}
 }
 
@@ -100,15 +99,15 @@
 	l.shards.controllers[m.Controller] = &controller{
 		Controller:  assignment.Controller{Name: m.Controller, ViaStore: m.ViaStore, ConnectedAt: now},
 		incarnation: m.Incarnation, link: m.Link, lastHeartbeat: now,
+		// The controller may have missed counts that have not changed since, or have lost all of them in a restart.
+		missedCounts: l.jobs.Refs(),
 	}
 	for _, lease := range l.shards.all {
 		if lease.Holder == m.Controller && lease.link != m.Link && lease.state != writing {
 			lease.state = unassigned
 		}
 	}
-	// The controller may have missed counts that have not changed since, or have lost all of them in a restart.
-	l.emit(SendToHolder{m.Link, peer.FromLeader{Term: l.term, Types: l.autoscaler.catalog, Holders: l.shardHolders(),
-		TaskCounts: l.jobs.ReportedCounts()}})
+	l.emit(SendToHolder{m.Link, peer.FromLeader{Term: l.term, Types: l.autoscaler.catalog, Holders: l.shardHolders()}})
 }
 
 // controllersByName returns the connected controllers in a fixed order, so that the same state gives the same effects.
--- a/internal/leader/jobs/table.go
+++ b/internal/leader/jobs/table.go
@@ -126,11 +126,13 @@
 	return changed
 }
 
-// ReportedCounts returns the task counts that ChangedCounts has returned last for each job, sorted by reference.
-func (t *Table) ReportedCounts() []peer.TaskCount {
-	var counts []peer.TaskCount
-	for _, ref := range slices.Sorted(maps.Keys(t.reportedCounts)) {
-		counts = append(counts, t.reportedCounts[ref])
+// ReportedCounts returns the task counts that ChangedCounts has returned last for the given jobs. It leaves out jobs
+// without such counts.
+func (t *Table) ReportedCounts(refs []string) (counts []peer.TaskCount) {
+	for _, ref := range refs {
+		if count, reported := t.reportedCounts[ref]; reported {
+			counts = append(counts, count)
+		}
 	}
 	return counts
 }
--- a/internal/leader/shard_table.go
+++ b/internal/leader/shard_table.go
@@ -4,6 +4,7 @@
 	"swiftledge/internal/clock"
 	"swiftledge/internal/cluster"
 	"swiftledge/internal/leader/assignment"
+	"swiftledge/internal/leader/jobs"
 	"swiftledge/internal/peer"
 	"swiftledge/wire"
 )
@@ -22,6 +23,26 @@
 	incarnation   cluster.Incarnation
 	link          Link
 	lastHeartbeat clock.Micros
+	missedCounts  []string // jobs whose task counts the controller may have missed before it connected
+}
+
+// Limits of the missed task counts in one report. A message through the store takes many frames, and grants wait for
+// it.
+const (
+	maxMissedCounts         = 2000
+	maxMissedCountsViaStore = 50
+)
+
+// takeMissedCounts returns as many of the counts that the controller may have missed as fit into one report.
+func (c *controller) takeMissedCounts(table *jobs.Table) (counts []peer.TaskCount) {
+	limit := maxMissedCounts
+	if c.ViaStore {
+		limit = maxMissedCountsViaStore
+	}
+	limit = min(limit, len(c.missedCounts))
+	counts = table.ReportedCounts(c.missedCounts[:limit])
+	c.missedCounts = c.missedCounts[limit:]
+	return counts
 }
 
 // recordHeartbeat records the health that a controller reports: whether agents contact the controller, and whether the
--- a/internal/shard/agent_restart.go
+++ b/internal/shard/agent_restart.go
@@ -14,7 +14,8 @@
 // apart. The question conveys the token, too.
 func (h *Holder) probeForRestart(now clock.Micros, s *heldShard, m *machine, heartbeat *wire.Heartbeat) {
 	suspicious := m.fence.confirmed && heartbeat.FencingToken < s.lease.fencingToken
-	if !suspicious || m.fence.requestPending || now-m.fence.lastRequest < fenceInterval || m.info.address == "" {
+	canBeAsked := m.info.address != "" && heartbeat.AgentEpoch > 0
+	if !suspicious || !canBeAsked || m.fence.requestPending || now-m.fence.lastRequest < fenceInterval {
 		return
 	}
 	m.fence.lastRequest, m.fence.requestPending = now, true
--- a/internal/shard/agent_restart_test.go
+++ b/internal/shard/agent_restart_test.go
@@ -157,6 +157,11 @@
 	if n := countAgentRequests(h.Step(secondsLater(5), heartbeat("m1", 1, testToken))); n != 0 {
 		t.Errorf("%d requests after a late copy of a heartbeat, want none", n)
 	}
+	// An agent without an epoch cannot be asked, and the question must not count as pending.
+	h.Step(secondsLater(5), heartbeat("m1", 1, 0).inEpoch(0))
+	if m := h.shards[0].machines["m1"]; m.fence.requestPending {
+		t.Error("a request that was never sent is pending")
+	}
 }
 
 // TestLowerTokenProvesRestart guards against a restarted agent that goes unnoticed because its heartbeats are newer than
