Shard: a second restart of an agent under one lease is noticed, too

A restart before any run command had gone to the agent needs no token; it also hid a later restart under the same lease, after one had gone. And the comparison of statuses stood twice. Change: each proof of a restart is weighed with the run commands sent by then; only its log line comes once. The order of statuses is StatusVersion.isOlderThan alone.

--- a/internal/shard/agent_contact.go
+++ b/internal/shard/agent_contact.go
@@ -12,6 +12,16 @@
 	Seq   uint64
 }
 
+// versionOf returns the version of a status.
+func versionOf(status *wire.Heartbeat) StatusVersion {
+	return StatusVersion{status.AgentEpoch, status.Seq}
+}
+
+// isOlderThan reports whether the version is that of an older status of the same agent.
+func (v StatusVersion) isOlderThan(other StatusVersion) bool {
+	return v.Epoch < other.Epoch || v.Epoch == other.Epoch && v.Seq < other.Seq
+}
+
 // agentContact records the statuses and heartbeats exchanged with a machine's agent.
 type agentContact struct {
 	// epoch and seq identify the newest status, whether from a heartbeat or from the answer to a request.
@@ -30,7 +40,7 @@
 
 // isNewer reports whether a status is newer than all earlier statuses. An older status proves nothing.
 func (c *agentContact) isNewer(status *wire.Heartbeat) bool {
-	return isNewerThan(status, c.epoch, c.seq)
+	return c.version().isOlderThan(versionOf(status))
 }
 
 // version returns the version of the newest status.
@@ -51,7 +61,7 @@
 // uses the machine's name, and the lease of the restarted agent starts now. So an outdated heartbeat postpones the time
 // after which silence proves that the machine's attempts have ended.
 func (c *agentContact) recordIfOutdated(now clock.Micros, heartbeat *wire.Heartbeat) bool {
-	if isNewerThan(heartbeat, c.heartbeatEpoch, c.heartbeatSeq) {
+	if (StatusVersion{c.heartbeatEpoch, c.heartbeatSeq}).isOlderThan(versionOf(heartbeat)) {
 		return false
 	}
 	c.lastOutdatedHeartbeat = now
@@ -64,10 +74,6 @@
 	c.heartbeatEpoch, c.heartbeatSeq = heartbeat.AgentEpoch, heartbeat.Seq
 }
 
-func isNewerThan(status *wire.Heartbeat, epoch wire.AgentEpoch, seq uint64) bool {
-	return status.AgentEpoch > epoch || status.AgentEpoch == epoch && status.Seq > seq
-}
-
 // maxUnansweredCommands is the number of consecutive unanswered requests after which a machine counts as unreachable.
 const maxUnansweredCommands = 2
 
--- a/internal/shard/agent_restart.go
+++ b/internal/shard/agent_restart.go
@@ -25,7 +25,7 @@
 // detectRestart compares the status in the answer to a request with the newest status that was known when the request
 // was sent. The versions of an agent's statuses rise, so an older one proves that the agent was restarted in between.
 func (h *Holder) detectRestart(s *heldShard, m *machine, known StatusVersion, status *wire.Heartbeat) {
-	if status.AgentEpoch > known.Epoch || status.AgentEpoch == known.Epoch && status.Seq >= known.Seq {
+	if !versionOf(status).isOlderThan(known) {
 		return
 	}
 	h.recordRestart(s, m)
@@ -34,13 +34,13 @@
 	}
 }
 
-// recordRestart records that a machine's agent was restarted, once under a lease. If a late copy of a run command under
-// the lease's token may arrive there, the shard needs a higher token.
+// recordRestart records that a machine's agent was restarted, and logs it once under a lease. If a late copy of a run
+// command under the lease's token may arrive there, the shard needs a higher token.
 func (h *Holder) recordRestart(s *heldShard, m *machine) {
+	s.lease.agentRestarted = s.lease.agentRestarted || m.runCommandSent
 	if m.restarted {
 		return
 	}
 	m.restarted = true
-	s.lease.agentRestarted = s.lease.agentRestarted || m.runCommandSent
 	h.emit(Log{Message: "agent was restarted", Attributes: []any{"machine", m.name, "shard", s.id}})
 }
--- a/internal/shard/agent_restart_test.go
+++ b/internal/shard/agent_restart_test.go
@@ -186,6 +186,23 @@
 	}
 }
 
+// TestSecondRestartNeedsToken guards against a restart that goes unnoticed because the agent was restarted before under the
+// same lease, when no run command had been sent to it.
+func TestSecondRestartNeedsToken(t *testing.T) {
+	h, a := stoppedOnM1(t)
+	a.machine.runCommandSent = false
+	h.Step(secondsLater(5), heartbeat("m1", 9, testToken-1))
+	h.Step(secondsLater(6), heartbeat("m1", 10, testToken, running(1), exitedOffered(a.id)))
+	if regrantsAfter(h, 6*clock.Second) {
+		t.Fatal("a new grant was requested although no run command had been sent")
+	}
+	a.machine.runCommandSent = true
+	h.Step(secondsLater(7), heartbeat("m1", 11, testToken-1))
+	if !regrantsAfter(h, 7*clock.Second) {
+		t.Error("no new grant was requested after the second restart")
+	}
+}
+
 // TestTokenGoesToRestartedAgentWithTheGrant guards against the wait of a restarted agent for the token that makes it refuse
 // late copies: the token is sent right after the grant, also in a shard of many machines and under overload.
 func TestTokenGoesToRestartedAgentWithTheGrant(t *testing.T) {
